--- /dev/null
+++ b/src/kingcuppulley/backend_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Meet backend servers: announcements, probes, load, cold start and drain."""
--- /dev/null
+++ b/src/kingcuppulley/backend_servers/announcements.py
@@ -0,0 +1,79 @@
+"""Take the announcements that backend servers post."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from twisted.web.http import Request
+
+from kingcuppulley.backend_servers.records import Announcement, TargetRecord
+from kingcuppulley.entry_hosts.host import EntryHost
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.http_api import (
+    answer_fault,
+    answer_json,
+    bearer_token,
+    read_body,
+    token_matches,
+)
+
+PATH = b"/announcements"
+
+
+class AnnouncementApi:
+    """Check who announces what, and tell the entry host."""
+
+    def __init__(
+        self, host: EntryHost, clock: Callable[[], float], metrics: Metrics
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._metrics = metrics
+
+    def handle(self, request: Request) -> None:
+        """Answer one announcement."""
+        try:
+            announcement = msgspec.json.decode(read_body(request), type=Announcement)
+        except msgspec.MsgspecError as error:
+            self._metrics.count("announcements_malformed")
+            answer_fault(request, 400, str(error), "post a valid announcement")
+            return
+        service = self._host.configuration.services.get(announcement.service)
+        if service is None:
+            answer_fault(
+                request,
+                404,
+                f"no service {announcement.service} is in force",
+                "announce a service of your client account, or wait for its template",
+            )
+            return
+        # The token is the account's, so no team can announce itself for another's
+        # service, and a token is checked against the announced service alone.
+        if not token_matches(bearer_token(request), service.announcement_token_hash):
+            self._metrics.count("announcements_unauthorised")
+            answer_fault(
+                request, 401, "the token is not this account's", "send its own token"
+            )
+            return
+        if announcement.zone not in service.zones:
+            answer_fault(
+                request,
+                409,
+                f"the service does not use zone {announcement.zone}",
+                f"announce from one of {', '.join(service.zones)}",
+            )
+            return
+        known = self._host.directory.get(announcement.name)
+        if known is not None and known.service != announcement.service:
+            answer_fault(
+                request,
+                409,
+                f"{announcement.name} is announced for {known.service}",
+                "give each backend server a name of its own",
+            )
+            return
+        fields = msgspec.structs.asdict(announcement)
+        self._metrics.count("announcements")
+        self._host.announced(TargetRecord(**fields), self._clock())
+        answer_json(request, 200, announcement)
--- /dev/null
+++ b/src/kingcuppulley/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Meet callers: admit, send, retry or refuse each of their requests."""
--- /dev/null
+++ b/src/kingcuppulley/callers/gateway.py
@@ -0,0 +1,493 @@
+"""Carry each caller's HTTP request to a backend server and its answer back."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.python.failure import Failure
+from twisted.web.http import Request
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IResponse
+
+from kingcuppulley.backend_servers.http_client import Attempt, BackendServerClient
+from kingcuppulley.callers import refusals
+from kingcuppulley.callers.refusals import OUTCOME_HEADER, Refusal
+from kingcuppulley.callers.request import (
+    RequestCore,
+    RequestFacts,
+    RequestStage,
+)
+from kingcuppulley.callers.retry_budget import RetryBudget
+from kingcuppulley.entry_hosts.claims import IssuedKey, home_zone
+from kingcuppulley.entry_hosts.host import EntryHost
+from kingcuppulley.entry_hosts.messages import (
+    AttemptOutcome,
+    ClaimAnswer,
+    ClaimRequest,
+    ClaimResult,
+    RefusalReason,
+    SlotGrant,
+)
+from kingcuppulley.errors import KingcuppulleyError
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.reactor import Timer
+from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.tracing import TRACE_HEADER, Span, Tracer
+from kingcuppulley.model import Service
+from kingcuppulley.settings import CallerSettings
+
+KEY_HEADER = "Idempotency-Key"
+TIMEOUT_HEADER = "Request-Timeout"
+ISSUE_PATH = b"/.well-known/kingcuppulley/idempotency-key"
+MAXIMUM_KEY_CHARACTERS = 200
+HELD_BACK_BYTES = 65_536
+MAXIMUM_TIMEOUT_SECONDS = 3600.0
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+
+
+class InvalidHeaderError(KingcuppulleyError):
+    """Report a header of a caller that cannot be understood."""
+
+
+class Gateway:
+    """Hold what all requests of one entry host share."""
+
+    def __init__(
+        self,
+        host: EntryHost,
+        sender: Sender[Any],
+        client: BackendServerClient,
+        settings: CallerSettings,
+        timer: Timer,
+        clock: Callable[[], float],
+        tracer: Tracer,
+        metrics: Metrics,
+    ) -> None:
+        self.host = host
+        self.sender = sender
+        self.client = client
+        self.settings = settings
+        self.timer = timer
+        self.clock = clock
+        self.tracer = tracer
+        self.metrics = metrics
+        self.budget = RetryBudget()
+        self.is_leaving = False
+        self._active: dict[GatewayRequest, None] = {}
+        self._serial = 0
+        self._prefix = f"{host.name}.{secrets.token_hex(4)}"
+
+    @property
+    def active_count(self) -> int:
+        """Return how many requests have no complete answer yet."""
+        return len(self._active)
+
+    def new_identifier(self) -> str:
+        """Return an identifier that no other attempt ever has."""
+        self._serial += 1
+        return f"{self._prefix}.{self._serial}"
+
+    def handle(self, service: Service, request: Request, body_fits: bool) -> None:
+        """Begin to serve one request."""
+        self.metrics.count("requests")
+        exchange = GatewayRequest(self, service, request)
+        self._active[exchange] = None
+        exchange.begin(body_fits)
+
+    def ended(self, exchange: GatewayRequest) -> None:
+        """Forget a request that has ended."""
+        self._active.pop(exchange, None)
+
+    def tick(self) -> None:
+        """Let every request act on deadlines that have passed."""
+        now = self.clock()
+        for exchange in list(self._active):
+            exchange.tick(now)
+
+
+class GatewayRequest:
+    """Own one caller's request and the sockets behind it."""
+
+    def __init__(self, gateway: Gateway, service: Service, request: Request) -> None:
+        self._gateway = gateway
+        self._service = service
+        self._request = request
+        self._core: RequestCore | None = None
+        self._attempt: Attempt | None = None
+        self._response: IResponse | None = None
+        self._held_back: list[bytes] = []
+        self._held_back_bytes = 0
+        self._lease = ""
+        self._claim = ""
+        self._body = b""
+        self._key: str | None = None
+        self._began_at = gateway.clock()
+        self._idle_deadline = math.inf
+        self._is_finished = False
+        self._span: Span = gateway.tracer.begin(
+            "entry", request.getHeader("traceparent")
+        )
+        self._hop: Span | None = None
+
+    def begin(self, body_fits: bool) -> None:
+        """Check the request and start its decisions."""
+        self._request.notifyFinish().addErrback(self._caller_gone)
+        if self._request.path == ISSUE_PATH:
+            self._issue_key()
+        elif not body_fits:
+            self.refuse(refusals.BODY_TOO_LARGE)
+        elif self._gateway.is_leaving:
+            self.refuse(refusals.LEAVING)
+        else:
+            try:
+                facts = self._facts()
+            except InvalidHeaderError:
+                self.refuse(refusals.MALFORMED)
+                return
+            now = self._gateway.clock()
+            zones = self._gateway.host.zones_to_try(self._service, now)
+            self._core = RequestCore(facts, zones, self, self._gateway.budget)
+            self._core.start(now)
+
+    def tick(self, now: float) -> None:
+        """Act on a deadline that has passed."""
+        if self._core is not None:
+            self._core.tick(now)
+        if now >= self._idle_deadline and self._attempt is not None:
+            self._attempt.cancel()
+            self.attempt_failed(AttemptOutcome.TIMEOUT)
+
+    # What the core decides.
+
+    def ask_claim(self, key: str, fingerprint: str) -> None:
+        """Ask the home of an idempotency key for the right to run."""
+        host = self._gateway.host
+        self._claim = self._gateway.new_identifier()
+        homes = self._homes(key)
+        if not homes:
+            # Nobody answers, and the deadline of the claim refuses truthfully.
+            return
+        self._hop = self._span.child("claim")
+        host.expect_claim(self._claim, self)
+        self._gateway.sender.send(homes[0], ClaimRequest(self._claim, key, fingerprint))
+
+    def free_claim(self, key: str) -> None:
+        """Tell those who keep the claim that the request did not run."""
+        self._settle_claim(key, 0, b"", "")
+
+    def ask_slot(self, zone: str, wait_seconds: float, avoid: str | None) -> None:
+        """Ask the steward of a zone for a slot."""
+        now = self._gateway.clock()
+        steward = self._gateway.host.steward_of(self._service.identity, zone, now)
+        self._hop = self._span.child("steward")
+        if steward is None:
+            self._gateway.timer.callLater(
+                0, self.slot_refused, RefusalReason.NOT_STEWARD
+            )
+            return
+        self._lease = self._gateway.new_identifier()
+        self._gateway.host.slots.request(
+            self._lease,
+            self,
+            self._service.identity,
+            zone,
+            steward,
+            wait_seconds,
+            avoid,
+            now,
+        )
+
+    def withdraw_slot(self) -> None:
+        """Take back the last request for a slot."""
+        self.release_slot(AttemptOutcome.CANCELLED)
+
+    def release_slot(self, outcome: AttemptOutcome) -> None:
+        """Give the granted slot back."""
+        now = self._gateway.clock()
+        self._gateway.host.slots.release(self._lease, outcome, now)
+        self._end_hop(outcome.value)
+
+    def start_attempt(self, grant: SlotGrant) -> None:
+        """Send the request to the backend server of a grant."""
+        self._end_hop("granted")
+        self._hop = self._span.child("attempt")
+        self._gateway.metrics.count("attempts")
+        self._response = None
+        self._held_back = []
+        self._held_back_bytes = 0
+        attempt = Attempt(self._lease, self)
+        self._attempt = attempt
+        assert self._core is not None
+        self._gateway.client.send(
+            attempt,
+            grant.host,
+            grant.port,
+            self._request.method,
+            self._request.uri,
+            self._forwarded_headers(),
+            self._body,
+            self._facts_are_repeatable,
+        )
+
+    def cancel_attempt(self) -> None:
+        """Close the connection of the attempt, which cancels it."""
+        if self._attempt is not None:
+            self._attempt.cancel()
+            self._attempt = None
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Answer the caller with a refusal."""
+        name = refusal.reason.replace("-", "_")
+        self._gateway.metrics.count(f"refusals_{name}")
+        self._request.setResponseCode(refusal.status)
+        self._request.setHeader(OUTCOME_HEADER, refusal.outcome.value)
+        self._request.setHeader("Content-Type", "application/json")
+        self._finish(msgspec.json.encode(refusal), refusal.reason)
+
+    def repeat(self, answer: ClaimAnswer) -> None:
+        """Answer the caller with what the first request of its key got."""
+        self._gateway.metrics.count("answers_repeated")
+        self._request.setResponseCode(answer.status)
+        self._request.setHeader("Idempotency-Replayed", "true")
+        if answer.content_type:
+            self._request.setHeader("Content-Type", answer.content_type)
+        self._finish(answer.body, "repeated")
+
+    def cut(self) -> None:
+        """Close the caller's connection, because its answer cannot be completed."""
+        self._gateway.metrics.count("answers_cut")
+        self._conclude("cut")
+        self._request.loseConnection()
+
+    # What others tell.
+
+    def claim_answered(self, answer: ClaimAnswer, now: float) -> None:
+        """Take the verdict of the key's home."""
+        self._end_hop(answer.verdict.value)
+        if self._core is not None and not self._is_finished:
+            self._core.claim_answered(answer, now)
+
+    def slot_granted(self, grant: SlotGrant) -> None:
+        """Take a granted slot."""
+        if self._core is not None:
+            self._core.slot_granted(grant)
+
+    def slot_refused(self, reason: RefusalReason) -> None:
+        """Take a refusal of the steward."""
+        self._end_hop(reason.value)
+        if self._core is not None:
+            self._core.slot_refused(reason, self._gateway.clock())
+
+    def lease_lost(self) -> None:
+        """Stop an attempt whose slot this host no longer holds."""
+        self._gateway.metrics.count("leases_lost")
+        self.cancel_attempt()
+        self.attempt_failed(AttemptOutcome.LOST)
+
+    def attempt_head(self, response: IResponse) -> None:
+        """Take the status and headers of an answer."""
+        self._response = response
+        self._idle_deadline = (
+            self._gateway.clock() + self._gateway.settings.idle_seconds
+        )
+
+    def attempt_data(self, data: bytes) -> None:
+        """Hold the first bytes back, so that a short answer can still be retried."""
+        core = self._core
+        if core is None or self._is_finished:
+            return
+        self._idle_deadline = (
+            self._gateway.clock() + self._gateway.settings.idle_seconds
+        )
+        if core.stage is RequestStage.ANSWERING:
+            self._request.write(data)
+            return
+        self._held_back.append(data)
+        self._held_back_bytes += len(data)
+        if self._held_back_bytes > HELD_BACK_BYTES:
+            core.answer_began()
+            self._send_head(None)
+            self._request.registerProducer(_AttemptProducer(self), True)
+            self._request.write(b"".join(self._held_back))
+            self._held_back = []
+
+    def attempt_complete(self) -> None:
+        """Take the end of a whole answer."""
+        core = self._core
+        self._attempt = None
+        if core is None or self._is_finished or self._response is None:
+            return
+        if core.stage is RequestStage.ANSWERING:
+            core.answer_ended()
+            self._request.unregisterProducer()
+            self._finish(b"", "answered")
+            return
+        body = b"".join(self._held_back)
+        core.answer_began()
+        core.answer_ended()
+        self._send_head(len(body))
+        if self._key is not None and self._claim:
+            content_type = self._response.headers.getRawHeaders("Content-Type", [""])
+            self._settle_claim(self._key, self._response.code, body, content_type[0])
+        self._finish(body, "answered")
+
+    def attempt_failed(self, outcome: AttemptOutcome) -> None:
+        """Take the end of an attempt without a whole answer."""
+        self._attempt = None
+        self._idle_deadline = math.inf
+        self._gateway.metrics.count(f"attempts_{outcome.value.replace('-', '_')}")
+        if self._core is not None and not self._is_finished:
+            self._core.attempt_failed(outcome, self._gateway.clock())
+
+    def pause(self) -> None:
+        """Stop reading from the backend server while the caller is slow."""
+        if self._attempt is not None:
+            self._attempt.pause()
+
+    def resume(self) -> None:
+        """Go on reading from the backend server."""
+        if self._attempt is not None:
+            self._attempt.resume()
+
+    def _facts(self) -> RequestFacts:
+        request = self._request
+        method = request.method.decode("ascii", "replace")
+        self._key = request.getHeader(KEY_HEADER)
+        if self._key is not None and not _is_valid_key(self._key):
+            raise InvalidHeaderError(KEY_HEADER)
+        self._body = request.content.read() if request.content else b""
+        digest = hashlib.sha256(request.method + b" " + request.uri + b"\n")
+        digest.update(self._service.identity.encode() + b"\n" + self._body)
+        facts = RequestFacts(
+            method=method,
+            key=self._key,
+            fingerprint=digest.hexdigest(),
+            deadline=self._began_at + self._timeout_seconds(),
+        )
+        self._facts_are_repeatable = facts.is_repeatable
+        self._deadline = facts.deadline
+        return facts
+
+    def _timeout_seconds(self) -> float:
+        text = self._request.getHeader(TIMEOUT_HEADER)
+        if text is None:
+            return self._gateway.settings.default_timeout_seconds
+        try:
+            seconds = float(text)
+        except ValueError as error:
+            raise InvalidHeaderError(TIMEOUT_HEADER) from error
+        if not 0 < seconds < math.inf:
+            raise InvalidHeaderError(TIMEOUT_HEADER)
+        return min(seconds, MAXIMUM_TIMEOUT_SECONDS)
+
+    def _homes(self, key: str) -> list[str]:
+        host = self._gateway.host
+        zone = home_zone(key, host.zones)
+        return host.homes_of(key, zone, self._gateway.clock())
+
+    def _settle_claim(
+        self, key: str, status: int, body: bytes, content_type: str
+    ) -> None:
+        result = ClaimResult(self._claim, key, status, body, content_type)
+        for home in self._homes(key):
+            self._gateway.sender.send(home, result)
+
+    def _issue_key(self) -> None:
+        now = self._gateway.clock()
+        key = IssuedKey.format(self._gateway.host.zone, now, secrets.token_hex(8))
+        self._request.setHeader("Content-Type", "text/plain")
+        self._finish(key.encode(), "issued")
+
+    def _forwarded_headers(self) -> Headers:
+        headers = Headers()
+        for name, values in self._request.requestHeaders.getAllRawHeaders():
+            if name.lower() not in _HOP_BY_HOP:
+                headers.setRawHeaders(name, list(values))
+        remaining = max(0.001, self._deadline - self._gateway.clock())
+        headers.setRawHeaders(TIMEOUT_HEADER, [f"{remaining:.3f}"])
+        trace = self._hop.header if self._hop is not None else None
+        if trace is not None:
+            headers.setRawHeaders(TRACE_HEADER, [trace])
+        return headers
+
+    def _send_head(self, length: int | None) -> None:
+        assert self._response is not None
+        self._request.setResponseCode(self._response.code, self._response.phrase)
+        for name, values in self._response.headers.getAllRawHeaders():
+            if name.lower() not in _HOP_BY_HOP:
+                self._request.responseHeaders.setRawHeaders(name, list(values))
+        if length is None and isinstance(self._response.length, int):
+            length = self._response.length
+        if length is not None and self._request.method != b"HEAD":
+            self._request.setHeader("Content-Length", str(length))
+
+    def _finish(self, body: bytes, result: str) -> None:
+        if self._is_finished:
+            return
+        self._conclude(result)
+        if body:
+            if not self._request.startedWriting:
+                self._request.setHeader("Content-Length", str(len(body)))
+            self._request.write(body)
+        self._request.finish()
+
+    def _conclude(self, result: str) -> None:
+        self._is_finished = True
+        self._gateway.ended(self)
+        self._gateway.host.forget_claim(self._claim)
+        self._end_hop(result)
+        self._span.end(result)
+        seconds = self._gateway.clock() - self._began_at
+        self._gateway.metrics.observe_seconds("request", seconds)
+
+    def _end_hop(self, result: str) -> None:
+        if self._hop is not None:
+            self._hop.end(result)
+            self._hop = None
+
+    def _caller_gone(self, _: Failure) -> None:
+        if self._is_finished:
+            return
+        self._gateway.metrics.count("callers_gone")
+        if self._core is not None:
+            self._core.caller_gone()
+        self._conclude("caller-gone")
+
+
+class _AttemptProducer:
+    """Hold the backend server back while the caller reads slowly."""
+
+    def __init__(self, exchange: GatewayRequest) -> None:
+        self._exchange = exchange
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading from the backend server."""
+        self._exchange.pause()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on reading from the backend server."""
+        self._exchange.resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Cancel the attempt; the end of the caller's connection tells the rest."""
+
+
+def _is_valid_key(key: str) -> bool:
+    return 0 < len(key) <= MAXIMUM_KEY_CHARACTERS and key.isprintable()
--- /dev/null
+++ b/src/kingcuppulley/callers/listeners.py
@@ -0,0 +1,89 @@
+"""Listen on the port of each service that requests may come for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from twisted.web.http import HTTPChannel, Request
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from kingcuppulley.callers.gateway import Gateway
+from kingcuppulley.internal.reactor import ListeningReactor
+from kingcuppulley.model import Service, Tier
+
+
+class LimitedRequest(Request):
+    """Take one request and drop a body that is above the limit."""
+
+    def __init__(self, channel: HTTPChannel, *arguments: Any, **named: Any) -> None:
+        super().__init__(channel, *arguments, **named)
+        self._site: Any = channel.site  # type: ignore[attr-defined]
+        self._room = self._site.gateway.settings.maximum_body_bytes
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a piece of the body while there is room."""
+        self._room -= len(data)
+        if self._room >= 0:
+            super().handleContentChunk(data)
+
+    def process(self) -> None:
+        """Pass the request to the gateway."""
+        self._site.gateway.handle(self._site.service, self, self._room >= 0)
+
+
+class ServiceSite(Site):
+    """Serve one service on one port."""
+
+    def __init__(self, gateway: Gateway, service: Service) -> None:
+        self.gateway = gateway
+        self.service = service
+        super().__init__(
+            resource=Resource(),
+            requestFactory=LimitedRequest,
+            timeout=int(gateway.settings.idle_seconds),
+        )
+
+    def log(self, request: Request) -> None:
+        """Write no line a request; counters tell."""
+
+
+class ServiceListeners:
+    """Open and close ports as services come into force and leave it."""
+
+    def __init__(self, gateway: Gateway, reactor: ListeningReactor) -> None:
+        self._gateway = gateway
+        self._reactor = reactor
+        self._ports: dict[str, Any] = {}
+        self._sites: dict[str, ServiceSite] = {}
+
+    def update(self, services: Iterable[Service]) -> None:
+        """Take the services that are in force."""
+        wanted = {s.identity: s for s in services if s.tier is Tier.REQUESTS}
+        for identity in list(self._ports):
+            service = wanted.get(identity)
+            if service is None or service.port != self._sites[identity].service.port:
+                self._ports.pop(identity).stopListening()
+                del self._sites[identity]
+        for identity, service in wanted.items():
+            site = self._sites.get(identity)
+            if site is None:
+                self._open(service)
+            else:
+                site.service = service
+
+    def stop(self) -> None:
+        """Stop taking connections; those that are open go on."""
+        for port in self._ports.values():
+            port.stopListening()
+        self._ports.clear()
+        self._sites.clear()
+
+    def _open(self, service: Service) -> None:
+        site = ServiceSite(self._gateway, service)
+        host = self._gateway.settings.listen_host
+        self._sites[service.identity] = site
+        self._ports[service.identity] = self._reactor.listenTCP(
+            service.port, site, interface=host, backlog=1024
+        )
--- /dev/null
+++ b/src/kingcuppulley/composition.py
@@ -0,0 +1,342 @@
+"""Wire the parts of each daemon; the only place where they are put together."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from eliot import log_message
+from twisted.internet.task import LoopingCall
+from twisted.web.http import Request
+from twisted.web.server import Site
+
+from kingcuppulley.backend_servers.announcements import PATH, AnnouncementApi
+from kingcuppulley.backend_servers.http_client import BackendServerClient
+from kingcuppulley.callers.gateway import Gateway
+from kingcuppulley.callers.listeners import ServiceListeners
+from kingcuppulley.control.acceptor import Acceptor
+from kingcuppulley.control.journal import FileJournal
+from kingcuppulley.control.peer_task import ControlPeers
+from kingcuppulley.control.replica import Replica
+from kingcuppulley.entry_hosts.configuration_feed import ConfigurationFeed
+from kingcuppulley.entry_hosts.host import EntryHost
+from kingcuppulley.entry_hosts.membership import HostAddress
+from kingcuppulley.entry_hosts.peer_task import EntryPeers
+from kingcuppulley.fabric.router import PacketRouter
+from kingcuppulley.fabric.udp_task import FabricSocket, HostSocket, UdpPacketPort
+from kingcuppulley.internal.clock import ProcessClock
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.http_api import ApiResource, answer_json, answer_text
+from kingcuppulley.internal.tracing import FileTracer, NoTracer, Tracer
+from kingcuppulley.operators.administration import AdministrationApi
+from kingcuppulley.operators.configuration import Configuration
+from kingcuppulley.settings import ControlSettings, EntrySettings
+
+TICK_SECONDS = 0.05
+DRAIN_CHECK_SECONDS = 0.05
+HAND_OVER_SECONDS = 1.0
+
+
+class EntryStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Show an entry host to an operator or a script."""
+
+    name: str
+    zone: str
+    live_hosts: list[str]
+    versions: dict[str, int]
+    zones_out: list[str]
+    faults: list[str]
+    backend_servers: dict[str, str]
+    flows: int
+    active_requests: int
+    held_slots: int
+
+
+class EntryDaemon:
+    """Run one entry host until it has left."""
+
+    def __init__(self, settings: EntrySettings, reactor: Any) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = ProcessClock()
+        self._metrics = Metrics()
+        self._own = _own_address(settings)
+        incarnation = int(self._clock.now() * 1000)
+        generator = random.Random(incarnation)
+        self._entry_peers = EntryPeers(
+            self._own,
+            settings.entry_hosts,
+            incarnation,
+            reactor,
+            reactor,
+            self._clock.now,
+            self._metrics,
+        )
+        self._fabric_socket = FabricSocket(self._clock.now)
+        self._host_socket = HostSocket(self._clock.now)
+        self._router = self._build_router()
+        self._host = EntryHost(
+            self._own.name,
+            settings.entry_hosts,
+            incarnation,
+            self._entry_peers,
+            self._router,
+            self._metrics,
+            generator,
+            self._clock.now(),
+        )
+        self._control_peers = self._build_control_peers()
+        neighbours = [
+            host.name
+            for host in settings.entry_hosts
+            if host.zone == self._own.zone and host.name != self._own.name
+        ]
+        self._feed = ConfigurationFeed(
+            f"{self._own.name}:{incarnation}",
+            [host.name for host in settings.control_hosts],
+            neighbours,
+            self._control_peers,
+            self._configured,
+            generator,
+        )
+        self._client = BackendServerClient(reactor)
+        self._gateway = self._build_gateway()
+        self._listeners = ServiceListeners(self._gateway, reactor)
+        self._announcements = AnnouncementApi(
+            self._host, self._clock.now, self._metrics
+        )
+        self._ticker = LoopingCall(self._tick)
+
+    def start(self) -> None:
+        """Open every socket and begin to serve."""
+        fabric = self._settings.fabric
+        self._fabric_socket.router = self._router
+        self._host_socket.router = self._router
+        self._reactor.listenUDP(
+            fabric.listen_port, self._fabric_socket, interface=fabric.listen_host
+        )
+        self._reactor.listenUDP(
+            self._own.packet_port, self._host_socket, interface=self._own.host
+        )
+        self._entry_peers.start(self._host)
+        self._control_peers.start(self._feed)
+        administration = self._settings.administration
+        self._reactor.listenTCP(
+            administration.listen_port,
+            Site(ApiResource(self._administer)),
+            interface=administration.listen_host,
+        )
+        self._ticker.start(TICK_SECONDS, now=True)
+        log_message(message_type="kingcuppulley:entry-started", host=self._own.name)
+
+    def leave(self) -> None:
+        """Hand flows over, let requests end, then stop."""
+        if self._gateway.is_leaving:
+            return
+        log_message(message_type="kingcuppulley:entry-leaving", host=self._own.name)
+        self._gateway.is_leaving = True
+        self._listeners.stop()
+        now = self._clock.now()
+        self._host.leave(now)
+        stay_until = now + HAND_OVER_SECONDS
+        leave_deadline = now + self._settings.leave_seconds
+        self._wait_for_requests(stay_until, leave_deadline)
+
+    def _wait_for_requests(self, stay_until: float, leave_deadline: float) -> None:
+        now = self._clock.now()
+        is_idle = self._gateway.active_count == 0 and now >= stay_until
+        if is_idle or now >= leave_deadline:
+            log_message(message_type="kingcuppulley:entry-left", host=self._own.name)
+            self._ticker.stop()
+            self._client.close()
+            self._reactor.stop()
+            return
+        self._reactor.callLater(
+            DRAIN_CHECK_SECONDS, self._wait_for_requests, stay_until, leave_deadline
+        )
+
+    def _build_router(self) -> PacketRouter:
+        fabric = self._settings.fabric
+        port = UdpPacketPort(
+            self._fabric_socket,
+            self._host_socket,
+            self._settings.entry_hosts,
+            (fabric.return_host, fabric.return_port),
+            self._entry_peers,
+            self._metrics,
+        )
+        return PacketRouter(
+            self._own.name,
+            port,
+            self._metrics,
+            fabric.flow_generation_seconds,
+            self._clock.now(),
+        )
+
+    def _build_control_peers(self) -> ControlPeers:
+        addresses = {
+            host.name: f"tcp://{host.host}:{host.port}"
+            for host in self._settings.control_hosts
+        }
+        for host in self._settings.entry_hosts:
+            if host.zone == self._own.zone:
+                addresses[host.name] = f"tcp://{host.host}:{host.control_port}"
+        return ControlPeers(
+            self._own.name,
+            f"tcp://{self._own.host}:{self._own.control_port}",
+            addresses,
+            self._reactor,
+            self._reactor,
+            self._clock.now,
+            self._metrics,
+        )
+
+    def _build_gateway(self) -> Gateway:
+        file = self._settings.traces.file
+        tracer: Tracer = FileTracer(self._own.name, Path(file)) if file else NoTracer()
+        return Gateway(
+            self._host,
+            self._entry_peers,
+            self._client,
+            self._settings.callers,
+            self._reactor,
+            self._clock.now,
+            tracer,
+            self._metrics,
+        )
+
+    def _configured(self, configuration: Configuration) -> None:
+        self._host.configure(configuration, self._clock.now())
+        self._metrics.gauges["services"] = len(configuration.services)
+        self._metrics.gauges["configuration_faults"] = len(configuration.faults)
+        if not self._gateway.is_leaving:
+            self._listeners.update(configuration.services.values())
+        log_message(
+            message_type="kingcuppulley:configuration-in-force",
+            versions=self._feed.versions,
+            zones_out=sorted(configuration.zones_out),
+        )
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        self._host.tick(now)
+        self._feed.tick(now)
+        self._gateway.tick()
+
+    def _administer(self, request: Request) -> None:
+        if request.path == PATH and request.method == b"POST":
+            self._announcements.handle(request)
+        elif request.path == b"/metrics":
+            self._metrics.gauges["flows"] = self._router.flow_count
+            body = self._metrics.render().encode()
+            answer_text(request, 200, body, "text/plain; version=0.0.4")
+        else:
+            answer_json(request, 200, self._status())
+
+    def _status(self) -> EntryStatus:
+        configuration = self._host.configuration
+        return EntryStatus(
+            name=self._own.name,
+            zone=self._own.zone,
+            live_hosts=self._host.membership.live_hosts(self._clock.now()),
+            versions=self._feed.versions,
+            zones_out=sorted(configuration.zones_out),
+            faults=configuration.faults,
+            backend_servers={
+                record.name: record.state.value
+                for record in self._host.directory.records
+            },
+            flows=self._router.flow_count,
+            active_requests=self._gateway.active_count,
+            held_slots=self._host.slots.held_count,
+        )
+
+
+class ControlDaemon:
+    """Run one control host."""
+
+    def __init__(self, settings: ControlSettings, reactor: Any) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = ProcessClock()
+        self._metrics = Metrics()
+        addresses = {
+            host.name: f"tcp://{host.host}:{host.port}"
+            for host in settings.control_hosts
+        }
+        self._peers = ControlPeers(
+            settings.name,
+            addresses[settings.name],
+            addresses,
+            reactor,
+            reactor,
+            self._clock.now,
+            self._metrics,
+        )
+        acceptor = Acceptor(FileJournal(Path(settings.data_folder)))
+        self._replica = Replica(
+            settings.name,
+            list(addresses),
+            acceptor,
+            self._peers,
+            random.Random(int(self._clock.now() * 1000)),
+        )
+        self._api = AdministrationApi(
+            settings.name,
+            self._replica,
+            settings.operators,
+            self._clock.now,
+            self._metrics,
+        )
+        self._ticker = LoopingCall(self._tick)
+        self._last_state = self._replica.state
+
+    def start(self) -> None:
+        """Open every socket and begin to vote once that is safe."""
+        self._peers.start(self._replica)
+        administration = self._settings.administration
+        self._reactor.listenTCP(
+            administration.listen_port,
+            Site(ApiResource(self._api.handle)),
+            interface=administration.listen_host,
+        )
+        self._ticker.start(TICK_SECONDS, now=True)
+        log_message(
+            message_type="kingcuppulley:control-started",
+            host=self._settings.name,
+            state=self._replica.state.value,
+        )
+
+    def stop(self) -> None:
+        """Stop; the journal is synced after each write, so nothing is left to do."""
+        self._ticker.stop()
+        self._reactor.stop()
+
+    def _tick(self) -> None:
+        self._replica.tick(self._clock.now())
+        self._metrics.gauges["failed_writes"] = self._replica.failed_writes
+        if self._replica.state is not self._last_state:
+            self._last_state = self._replica.state
+            log_message(
+                message_type="kingcuppulley:control-state",
+                host=self._settings.name,
+                state=self._last_state.value,
+            )
+
+
+def initialise_control_host(settings: ControlSettings) -> None:
+    """Make the data folder of a control host, at a deployment's first start only."""
+    journal = FileJournal(Path(settings.data_folder))
+    if any(True for _ in journal.read()):
+        return
+    Acceptor.initialise(journal)
+    journal.close()
+
+
+def _own_address(settings: EntrySettings) -> HostAddress:
+    for host in settings.entry_hosts:
+        if host.name == settings.name:
+            return host
+    raise KeyError(settings.name)
--- /dev/null
+++ b/src/kingcuppulley/control/peer_task.py
@@ -0,0 +1,85 @@
+"""Own a process's link to the control hosts and to those that poll it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from kingcuppulley.control.messages import (
+    Body,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+)
+from kingcuppulley.errors import MalformedMessageError
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.peer_link import PeerLink
+from kingcuppulley.internal.reactor import ReaderReactor, Timer
+
+MAXIMUM_REPLY_ADDRESSES = 2048
+
+
+class ControlReceiver(Protocol):
+    """Take messages of control hosts and of those that poll."""
+
+    def receive(self, host: str, body: Body, now: float) -> None:
+        """Take one message."""
+
+
+class ControlPeers:
+    """Send and take control messages; replies go where the asker says."""
+
+    def __init__(
+        self,
+        name: str,
+        listen_address: str,
+        addresses: dict[str, str],
+        reactor: ReaderReactor,
+        timer: Timer,
+        clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._name = name
+        self._own_address = listen_address
+        self._addresses = dict(addresses)
+        self._timer = timer
+        self._clock = clock
+        self._metrics = metrics
+        self._receiver: ControlReceiver | None = None
+        self._link = PeerLink(listen_address, self._take, reactor, metrics)
+
+    def start(self, receiver: ControlReceiver) -> None:
+        """Begin to pass messages to a receiver."""
+        self._receiver = receiver
+        self._link.start()
+
+    def stop(self) -> None:
+        """Close the link."""
+        self._link.stop()
+
+    def send(self, host: str, message: Body) -> None:
+        """Send a message by the name of its receiver."""
+        if host == self._name:
+            self._timer.callLater(0, self._deliver, host, message)
+            return
+        address = self._addresses.get(host)
+        if address is not None:
+            envelope = Envelope(self._name, self._own_address, message)
+            self._link.send(address, encode_envelope(envelope))
+
+    def _take(self, data: bytes) -> None:
+        try:
+            envelope = decode_envelope(data)
+        except MalformedMessageError:
+            self._metrics.count("control_messages_malformed")
+            return
+        if envelope.sender not in self._addresses:
+            if len(self._addresses) >= MAXIMUM_REPLY_ADDRESSES:
+                self._metrics.count("control_messages_of_strangers")
+                return
+            self._addresses[envelope.sender] = envelope.reply_to
+        self._deliver(envelope.sender, envelope.body)
+
+    def _deliver(self, sender: str, body: Body) -> None:
+        if self._receiver is not None:
+            self._receiver.receive(sender, body, self._clock())
--- /dev/null
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -0,0 +1,428 @@
+"""Decide on everything that one entry host is told; sockets live elsewhere."""
+
+from __future__ import annotations
+
+import random
+from array import array
+from collections.abc import Iterable
+from typing import Protocol
+
+from kingcuppulley.backend_servers.directory import Directory
+from kingcuppulley.backend_servers.records import TargetRecord, TargetState
+from kingcuppulley.backend_servers.steward import Steward
+from kingcuppulley.callers.slot_client import SlotClient
+from kingcuppulley.entry_hosts.claims import ClaimRegister
+from kingcuppulley.entry_hosts.membership import (
+    HEARTBEAT_SECONDS,
+    HostAddress,
+    Membership,
+)
+from kingcuppulley.entry_hosts.messages import (
+    AnnouncementSeen,
+    Body,
+    ClaimAnswer,
+    ClaimCopied,
+    ClaimCopy,
+    ClaimRequest,
+    ClaimResult,
+    ClaimTransferDone,
+    ClaimTransferRequest,
+    FlowAnswer,
+    FlowCopies,
+    FlowQuery,
+    Heartbeat,
+    LeaseQuery,
+    LeaseReport,
+    RefusalReason,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRenewal,
+    SlotRenewed,
+    SlotRequest,
+    TargetRequest,
+    TargetUpdate,
+)
+from kingcuppulley.fabric.replication import GroupedFlows
+from kingcuppulley.fabric.router import PacketRouter
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.rendezvous import rank_names
+from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.model import Service, Tier
+from kingcuppulley.operators.configuration import Configuration
+
+EXCEPTIONS_PER_SECOND = 1000
+EXCEPTION_SECONDS = 0.1
+TRANSFER_SECONDS = 0.5
+RECORDS_PER_UPDATE = 64
+
+
+class ClaimListener(Protocol):
+    """Take the answers of keys' homes."""
+
+    def claim_answered(self, answer: ClaimAnswer, now: float) -> None:
+        """Take one answer."""
+
+
+class EntryHost:
+    """Wire the decisions of one entry host and pass each message to its core."""
+
+    def __init__(
+        self,
+        name: str,
+        hosts: Iterable[HostAddress],
+        incarnation: int,
+        sender: Sender[Body],
+        router: PacketRouter,
+        metrics: Metrics,
+        generator: random.Random,
+        now: float,
+    ) -> None:
+        self._name = name
+        self._sender = sender
+        self._router = router
+        self._metrics = metrics
+        self._hosts = list(hosts)
+        self._membership = Membership(name, self._hosts, incarnation, generator)
+        self._zone = self._membership.zone_of(name)
+        self._zones = sorted({host.zone for host in self._hosts})
+        self._directory = Directory()
+        self._slots = SlotClient(sender)
+        self._claims = ClaimRegister(
+            name, self._zone, self._zones, self._membership, sender, now
+        )
+        self._stewards: dict[str, Steward] = {}
+        self._configuration = Configuration({}, {}, {}, frozenset(), [])
+        self._live: list[str] = []
+        self._owners: list[str] = []
+        self._digests: dict[str, int] = {}
+        self._heartbeat_deadline = now
+        self._exception_deadline = now
+        self._transfer_deadline = now
+        self._untransferred = {
+            host.name
+            for host in self._hosts
+            if host.zone == self._zone and host.name != name
+        }
+        self._claim_listeners: dict[str, ClaimListener] = {}
+
+    @property
+    def name(self) -> str:
+        """Return the name of this host."""
+        return self._name
+
+    @property
+    def zone(self) -> str:
+        """Return the availability zone of this host."""
+        return self._zone
+
+    @property
+    def zones(self) -> list[str]:
+        """Return every availability zone that has entry hosts."""
+        return self._zones
+
+    @property
+    def slots(self) -> SlotClient:
+        """Return what holds this host's slot leases."""
+        return self._slots
+
+    @property
+    def router(self) -> PacketRouter:
+        """Return what routes this host's packets."""
+        return self._router
+
+    @property
+    def directory(self) -> Directory:
+        """Return what this host knows of backend servers."""
+        return self._directory
+
+    @property
+    def membership(self) -> Membership:
+        """Return what this host knows of entry hosts."""
+        return self._membership
+
+    @property
+    def claims(self) -> ClaimRegister:
+        """Return the claims of idempotency keys that this host keeps."""
+        return self._claims
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return what is in force on this host."""
+        return self._configuration
+
+    def configure(self, configuration: Configuration, now: float) -> None:
+        """Put a configuration in force."""
+        self._configuration = configuration
+        self._router.update_services(configuration.services.values())
+        self._refresh_view(now, force=True)
+        self._refresh_targets(now)
+
+    def steward_of(self, service: str, zone: str, now: float) -> str | None:
+        """Return the host that grants a service's slots in a zone, or None."""
+        hosts = self._membership.owners_of_zone(zone, now)
+        ranked = rank_names(f"{service}@{zone}", hosts)
+        return ranked[0] if ranked else None
+
+    def homes_of(self, key: str, zone: str, now: float) -> list[str]:
+        """Return the hosts that keep the claim of a key, its home first."""
+        hosts = self._membership.owners_of_zone(zone, now)
+        return list(rank_names(key, hosts))[:3]
+
+    def zones_to_try(self, service: Service, now: float) -> list[str]:
+        """Return the zones that may serve a request, in a weighted random order."""
+        weights = {}
+        for zone in service.zones:
+            if zone in self._configuration.zones_out:
+                continue
+            records = self._directory.of_service(service.identity, zone)
+            weight = sum(1 for record in records if record.takes_new_work)
+            if weight and self.steward_of(service.identity, zone, now):
+                weights[zone] = weight
+        return weighted_order(weights, self._membership.generator)
+
+    def expect_claim(self, claim: str, listener: ClaimListener) -> None:
+        """Pass the answer to a claim on to a listener."""
+        self._claim_listeners[claim] = listener
+
+    def forget_claim(self, claim: str) -> None:
+        """Stop waiting for the answer to a claim."""
+        self._claim_listeners.pop(claim, None)
+
+    def announced(self, record: TargetRecord, now: float) -> None:
+        """Take a backend server's announcement, or pass it to its steward."""
+        steward = self.steward_of(record.service, record.zone, now)
+        if steward is not None and steward != self._name:
+            self._sender.send(steward, AnnouncementSeen(record))
+            return
+        news = self._directory.announced(record, now)
+        if news is not None:
+            self._spread([news])
+            self._refresh_targets(now)
+
+    def leave(self, now: float) -> None:
+        """Hand over what this host owns and tell the others that it leaves."""
+        self._membership.leave()
+        self._heartbeat_deadline = now
+        self._refresh_view(now, force=True)
+        for host, groups in self._router.replication.hand_over(self._router.owners):
+            self._send_flows(host, groups, as_owner=True)
+        for neighbour in self._membership.owners_of_zone(self._zone, now):
+            self._claims.transfer_to(neighbour, now)
+
+    def tick(self, now: float) -> None:
+        """Act on every deadline that has passed."""
+        if now >= self._heartbeat_deadline:
+            self._heartbeat_deadline = now + HEARTBEAT_SECONDS
+            chosen, heartbeat = self._membership.tick(now)
+            beat = Heartbeat(heartbeat.reports, self._directory.digest)
+            for host in chosen:
+                self._sender.send(host, beat)
+        self._refresh_view(now, force=False)
+        self._expire_targets(now)
+        self._router.tick(now)
+        self._router.replication.step()
+        self._copy_exceptions(now)
+        for steward in self._stewards.values():
+            steward.tick(now)
+        self._slots.tick(now)
+        self._claims.tick(now)
+        self._ask_transfer(now)
+
+    def receive(self, host: str, body: Body, now: float) -> None:
+        """Pass a message of another entry host to its core."""
+        match body:
+            case Heartbeat():
+                self._membership.receive(body, now)
+                if body.targets_digest != self._directory.digest:
+                    self._sender.send(host, TargetRequest())
+            case FlowQuery() | FlowAnswer() | FlowCopies():
+                self._receive_flow(host, body, now)
+            case TargetUpdate():
+                if self._directory.merge(body.records):
+                    self._refresh_targets(now)
+            case TargetRequest():
+                self._send_records(host, self._directory.records)
+            case AnnouncementSeen():
+                self.announced(body.record, now)
+            case ClaimRequest() | ClaimAnswer() | ClaimCopy() | ClaimCopied():
+                self._receive_claim(host, body, now)
+            case ClaimResult():
+                self._claims.result(body, now)
+            case ClaimTransferRequest():
+                self._claims.transfer_to(host, now)
+            case ClaimTransferDone():
+                self._untransferred.discard(host)
+                self._claims.transferred(body.vouches_for_seconds, now)
+            case _:
+                self._receive_slot(host, body, now)
+
+    def _receive_flow(
+        self, host: str, body: FlowQuery | FlowAnswer | FlowCopies, now: float
+    ) -> None:
+        match body:
+            case FlowQuery():
+                target = self._router.answer_flow_query(body.flow)
+                self._sender.send(host, FlowAnswer(body.flow, target))
+            case FlowAnswer():
+                self._router.flow_answered(host, body.flow, body.target, now)
+            case FlowCopies():
+                flows = array("Q")
+                flows.frombytes(body.flows)
+                groups = {body.target: flows.tolist()}
+                self._router.receive_flows(groups, body.as_owner)
+
+    def _receive_claim(
+        self,
+        host: str,
+        body: ClaimRequest | ClaimAnswer | ClaimCopy | ClaimCopied,
+        now: float,
+    ) -> None:
+        match body:
+            case ClaimRequest():
+                self._claims.request(host, body, now)
+            case ClaimAnswer():
+                listener = self._claim_listeners.pop(body.claim, None)
+                if listener is not None:
+                    listener.claim_answered(body, now)
+            case ClaimCopy():
+                self._claims.copy(host, body, now)
+            case ClaimCopied():
+                self._claims.copied(host, body)
+
+    def _receive_slot(self, host: str, body: Body, now: float) -> None:
+        match body:
+            case SlotRequest():
+                steward = self._stewards.get(body.service)
+                if steward is None:
+                    reason = RefusalReason.NOT_STEWARD
+                    self._sender.send(host, SlotRefusal(body.lease, reason))
+                else:
+                    steward.request(host, body, now)
+            case SlotRelease():
+                for steward in self._stewards.values():
+                    steward.release(host, body, now)
+            case SlotRenewal():
+                for steward in self._stewards.values():
+                    steward.renew(host, body, now)
+            case LeaseReport():
+                steward = self._stewards.get(body.service)
+                if steward is not None and body.zone == self._zone:
+                    steward.learn(host, body, now)
+            case SlotGrant():
+                self._slots.granted(host, body, now)
+            case SlotRefusal():
+                self._slots.refused(host, body)
+            case SlotRenewed():
+                self._slots.renewed(host, body)
+            case LeaseQuery():
+                self._queried(host, body, now)
+
+    def _queried(self, host: str, query: LeaseQuery, now: float) -> None:
+        # Whoever asks counts the slots from here on.  If this host still believes it
+        # is the steward, it stops at once: its own next view decides whether it
+        # starts again, and then it has to ask first as well.
+        if host != self._name and query.zone == self._zone:
+            self._stewards.pop(query.service, None)
+        self._slots.queried(host, query, now)
+
+    def _refresh_view(self, now: float, force: bool) -> None:
+        zones_out = self._configuration.zones_out
+        live = self._membership.live_hosts(now)
+        owners = self._membership.owners(now, zones_out)
+        if live == self._live and owners == self._owners and not force:
+            return
+        self._live = live
+        self._owners = owners
+        self._metrics.gauges["live_entry_hosts"] = len(live)
+        self._router.update_owners(owners, now)
+        self._refresh_stewards(now)
+
+    def _refresh_stewards(self, now: float) -> None:
+        services = self._configuration.services
+        for identity in list(self._stewards):
+            mine = self.steward_of(identity, self._zone, now) == self._name
+            if identity not in services or not mine:
+                del self._stewards[identity]
+        for identity, service in services.items():
+            if service.tier is not Tier.REQUESTS or self._zone not in service.zones:
+                continue
+            if self.steward_of(identity, self._zone, now) != self._name:
+                continue
+            steward = self._stewards.get(identity)
+            if steward is not None:
+                steward.update_service(service, now)
+                continue
+            self._metrics.count("stewardships_taken")
+            names = [host.name for host in self._hosts]
+            steward = Steward(service, self._zone, names, self._sender, now)
+            self._stewards[identity] = steward
+        self._refresh_targets(now)
+
+    def _refresh_targets(self, now: float) -> None:
+        zones_out = self._configuration.zones_out
+        records = self._directory.records
+        self._router.update_targets(records, zones_out)
+        for identity, steward in self._stewards.items():
+            own = self._directory.of_service(identity, self._zone)
+            if self._zone in zones_out:
+                own = []
+            steward.update_targets(own, now)
+
+    def _expire_targets(self, now: float) -> None:
+        watched = []
+        for record in self._directory.records:
+            steward = self.steward_of(record.service, record.zone, now)
+            if steward == self._name:
+                watched.append(record.name)
+            else:
+                self._directory.unwatch(record.name)
+        gone = self._directory.expire(watched, now)
+        if gone:
+            self._metrics.count("backend_servers_silent", len(gone))
+            self._spread(gone)
+            self._refresh_targets(now)
+
+    def mark_target(self, name: str, state: TargetState, now: float) -> None:
+        """Change the state of a backend server that this host stewards."""
+        self._spread([self._directory.mark(name, state)])
+        self._refresh_targets(now)
+
+    def _copy_exceptions(self, now: float) -> None:
+        if now < self._exception_deadline:
+            return
+        self._exception_deadline = now + EXCEPTION_SECONDS
+        limit = int(EXCEPTIONS_PER_SECOND * EXCEPTION_SECONDS)
+        for host, groups in self._router.replication.take_pending(limit).items():
+            self._send_flows(host, groups, as_owner=False)
+
+    def _send_flows(self, host: str, groups: GroupedFlows, as_owner: bool) -> None:
+        for target, flows in groups.items():
+            packed = array("Q", flows).tobytes()
+            self._metrics.count("flow_copy_bytes", len(packed))
+            self._sender.send(host, FlowCopies(target, packed, as_owner))
+
+    def _spread(self, records: list[TargetRecord]) -> None:
+        for host in self._live:
+            if host != self._name:
+                self._send_records(host, records)
+
+    def _send_records(self, host: str, records: list[TargetRecord]) -> None:
+        for start in range(0, len(records), RECORDS_PER_UPDATE):
+            piece = records[start : start + RECORDS_PER_UPDATE]
+            self._sender.send(host, TargetUpdate(piece))
+
+    def _ask_transfer(self, now: float) -> None:
+        if not self._untransferred or now < self._transfer_deadline:
+            return
+        self._transfer_deadline = now + TRANSFER_SECONDS
+        for host in sorted(self._untransferred.intersection(self._live)):
+            self._sender.send(host, ClaimTransferRequest())
+
+
+def weighted_order(weights: dict[str, int], generator: random.Random) -> list[str]:
+    """Return the names in a random order in which weight comes first more often."""
+    scored = {
+        name: generator.random() ** (1.0 / weight) for name, weight in weights.items()
+    }
+    return sorted(scored, key=lambda name: scored[name], reverse=True)
--- /dev/null
+++ b/src/kingcuppulley/entry_hosts/peer_task.py
@@ -0,0 +1,76 @@
+"""Own the link to the other entry hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from kingcuppulley.entry_hosts.host import EntryHost
+from kingcuppulley.entry_hosts.membership import HostAddress
+from kingcuppulley.entry_hosts.messages import (
+    Body,
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+)
+from kingcuppulley.errors import MalformedMessageError
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.peer_link import PeerLink
+from kingcuppulley.internal.reactor import ReaderReactor, Timer
+
+
+class EntryPeers:
+    """Send and take messages of entry hosts; one to itself takes the same way."""
+
+    def __init__(
+        self,
+        own: HostAddress,
+        hosts: list[HostAddress],
+        incarnation: int,
+        reactor: ReaderReactor,
+        timer: Timer,
+        clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._own = own
+        self._addresses = {
+            host.name: f"tcp://{host.host}:{host.peer_port}" for host in hosts
+        }
+        self._incarnation = incarnation
+        self._timer = timer
+        self._clock = clock
+        self._metrics = metrics
+        self.host: EntryHost | None = None
+        self._link = PeerLink(self._addresses[own.name], self._take, reactor, metrics)
+
+    def start(self, host: EntryHost) -> None:
+        """Begin to pass messages to an entry host."""
+        self.host = host
+        self._link.start()
+
+    def stop(self) -> None:
+        """Close the link."""
+        self._link.stop()
+
+    def send(self, host: str, message: Body) -> None:
+        """Send a message to an entry host by its name."""
+        if host == self._own.name:
+            # Never within the sender's own step: a core is not entered twice.
+            self._timer.callLater(0, self._deliver, host, message)
+            return
+        envelope = Envelope(self._own.name, self._incarnation, message)
+        self._link.send(self._addresses[host], encode_envelope(envelope))
+
+    def _take(self, data: bytes) -> None:
+        try:
+            envelope = decode_envelope(data)
+        except MalformedMessageError:
+            self._metrics.count("peer_messages_malformed")
+            return
+        if envelope.sender not in self._addresses:
+            self._metrics.count("peer_messages_of_strangers")
+            return
+        self._deliver(envelope.sender, envelope.body)
+
+    def _deliver(self, sender: str, body: Body) -> None:
+        if self.host is not None:
+            self.host.receive(sender, body, self._clock())
--- /dev/null
+++ b/src/kingcuppulley/errors.py
@@ -0,0 +1,71 @@
+"""Define every error that the system raises, each with its remedy in the message."""
+
+from __future__ import annotations
+
+
+class KingcuppulleyError(Exception):
+    """Serve as the base of every error of this package."""
+
+
+class SettingsError(KingcuppulleyError):
+    """Report one faulty setting by file, key, value and remedy."""
+
+    def __init__(self, file: str, key: str, value: object, remedy: str) -> None:
+        self.file = file
+        self.key = key
+        self.value = value
+        self.remedy = remedy
+        super().__init__(f"{file}: {key} = {value!r}: {remedy}")
+
+
+class TemplateError(KingcuppulleyError):
+    """Report one fault of a template or of an account's parameters."""
+
+    def __init__(self, subject: str, remedy: str) -> None:
+        self.subject = subject
+        self.remedy = remedy
+        super().__init__(f"{subject}: {remedy}")
+
+
+class CorruptedRecordError(KingcuppulleyError):
+    """Report a record in the middle of a data file that fails its checksum."""
+
+    def __init__(self, file: str, offset: int) -> None:
+        self.file = file
+        self.offset = offset
+        super().__init__(
+            f"{file}: the record at byte {offset} fails its checksum; move the data "
+            "folder away and start the control host again with an empty one, so that "
+            "it recovers its state from the other control hosts"
+        )
+
+
+class StorageError(KingcuppulleyError):
+    """Report that a write could not be made durable; nothing was accepted."""
+
+    def __init__(self, file: str, reason: str) -> None:
+        self.file = file
+        self.reason = reason
+        super().__init__(
+            f"{file}: {reason}; free space or replace the disk, then send the change "
+            "again with the same change identifier"
+        )
+
+
+class MalformedPacketError(KingcuppulleyError):
+    """Report a packet that is truncated or carries a protocol that is not served."""
+
+
+class MalformedMessageError(KingcuppulleyError):
+    """Report a message of another process that this version cannot decode."""
+
+
+class NotEnoughControlHostsError(KingcuppulleyError):
+    """Report that a majority of control hosts did not answer before the deadline."""
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+        super().__init__(
+            f"{key}: no majority of control hosts answered, so whether the change is "
+            "accepted is unknown; send it again with the same change identifier"
+        )
--- /dev/null
+++ b/src/kingcuppulley/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Run deployments, put load on them, record what happens, and judge it."""
--- /dev/null
+++ b/src/kingcuppulley/fabric/udp_task.py
@@ -0,0 +1,121 @@
+"""Own the UDP sockets of the packet tier."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import dpkt
+from twisted.internet.protocol import DatagramProtocol
+
+from kingcuppulley.entry_hosts.membership import HostAddress
+from kingcuppulley.entry_hosts.messages import Body, FlowQuery
+from kingcuppulley.fabric.router import PacketRouter
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.tasks import Sender
+
+
+class PacketSocket(DatagramProtocol):
+    """Own one UDP socket."""
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send one datagram."""
+        transport: Any = self.transport
+        transport.write(data, address)
+
+
+class FabricSocket(PacketSocket):
+    """Take packets from the fabric and send packets to backend servers."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self.router: PacketRouter | None = None
+
+    def datagramReceived(  # noqa: N802
+        self, datagram: bytes, addr: tuple[str, int]
+    ) -> None:
+        """Route one packet."""
+        if self.router is not None:
+            self.router.packet_from_fabric(datagram, self._clock())
+
+
+class HostSocket(PacketSocket):
+    """Exchange packets with other entry hosts, each behind one byte of hops."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self.router: PacketRouter | None = None
+
+    def datagramReceived(  # noqa: N802
+        self, datagram: bytes, addr: tuple[str, int]
+    ) -> None:
+        """Route one packet that another host took for this host's."""
+        if self.router is not None and datagram:
+            hops = datagram[0]
+            self.router.packet_from_host(datagram[1:], hops, self._clock())
+
+
+class UdpPacketPort:
+    """Send what the router decides over the two sockets."""
+
+    def __init__(
+        self,
+        fabric_socket: FabricSocket,
+        host_socket: HostSocket,
+        hosts: list[HostAddress],
+        return_address: tuple[str, int],
+        sender: Sender[Body],
+        metrics: Metrics,
+    ) -> None:
+        self._fabric_socket = fabric_socket
+        self._host_socket = host_socket
+        self._addresses = {host.name: (host.host, host.packet_port) for host in hosts}
+        self._return_address = return_address
+        self._sender = sender
+        self._metrics = metrics
+
+    def send_to_target(self, packet: bytes, endpoint: tuple[str, int]) -> None:
+        """Send a packet to a backend server."""
+        self._write(self._fabric_socket, packet, endpoint)
+
+    def send_to_owner(self, packet: bytes, host: str, hops: int) -> None:
+        """Send a packet to the entry host that owns its flow."""
+        self._write(self._host_socket, bytes((hops,)) + packet, self._addresses[host])
+
+    def reset_caller(self, packet: bytes) -> None:
+        """Send a TCP reset back through the fabric; a datagram has no reset."""
+        reset = build_reset(packet)
+        if reset is not None:
+            self._write(self._fabric_socket, reset, self._return_address)
+
+    def ask_for_flow(self, hosts: list[str], flow: int) -> None:
+        """Ask other entry hosts which target a flow has."""
+        for host in hosts:
+            self._sender.send(host, FlowQuery(flow))
+
+    def _write(
+        self, socket: PacketSocket, data: bytes, address: tuple[str, int]
+    ) -> None:
+        try:
+            socket.write(data, address)
+        except OSError:
+            # A full socket buffer or an unreachable host: the network may drop it too.
+            self._metrics.count("packets_not_written")
+
+
+def build_reset(packet: bytes) -> bytes | None:
+    """Return the TCP reset that answers a packet, or None if it has none."""
+    received = dpkt.ip.IP(packet)
+    segment = received.data
+    if not isinstance(segment, dpkt.tcp.TCP) or segment.flags & dpkt.tcp.TH_RST:
+        return None
+    reset = dpkt.tcp.TCP(
+        sport=segment.dport,
+        dport=segment.sport,
+        seq=segment.ack,
+        ack=(segment.seq + 1) & 0xFFFFFFFF,
+        flags=dpkt.tcp.TH_RST | dpkt.tcp.TH_ACK,
+    )
+    answer = dpkt.ip.IP(src=received.dst, dst=received.src, p=6, data=reset)
+    answer.len = 20 + len(reset)
+    return bytes(answer)
--- /dev/null
+++ b/src/kingcuppulley/internal/counters.py
@@ -0,0 +1,57 @@
+"""Count events and record latencies, one object a process."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_MICROSECONDS = 1
+_HIGHEST_MICROSECONDS = 600_000_000
+_SIGNIFICANT_FIGURES = 2
+_PREFIX = "kingcuppulley"
+_QUANTILES = (50.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Collect counters, gauges and latency histograms of one process."""
+
+    __slots__ = ("counts", "gauges", "_histograms")
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add an amount to a counter."""
+        self.counts[name] += amount
+
+    def observe_seconds(self, name: str, seconds: float) -> None:
+        """Record one latency, in seconds, under a name."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(
+                _LOWEST_MICROSECONDS, _HIGHEST_MICROSECONDS, _SIGNIFICANT_FIGURES
+            )
+            self._histograms[name] = histogram
+        histogram.record_value(max(_LOWEST_MICROSECONDS, int(seconds * 1e6)))
+
+    def render(self) -> str:
+        """Return every figure in the usual text exposition format."""
+        lines = []
+        for name, count in sorted(self.counts.items()):
+            lines.append(f"# TYPE {_PREFIX}_{name}_total counter")
+            lines.append(f"{_PREFIX}_{name}_total {count}")
+        for name, gauge in sorted(self.gauges.items()):
+            lines.append(f"# TYPE {_PREFIX}_{name} gauge")
+            lines.append(f"{_PREFIX}_{name} {gauge}")
+        for name, histogram in sorted(self._histograms.items()):
+            lines.append(f"# TYPE {_PREFIX}_{name}_seconds summary")
+            for quantile in _QUANTILES:
+                value = histogram.get_value_at_percentile(quantile) / 1e6
+                label = f'quantile="{quantile / 100:g}"'
+                lines.append(f"{_PREFIX}_{name}_seconds{{{label}}} {value}")
+            total = histogram.get_total_count()
+            lines.append(f"{_PREFIX}_{name}_seconds_count {total}")
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/kingcuppulley/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Meet operators: templates, the administration API and the command line."""
--- /dev/null
+++ b/src/kingcuppulley/operators/command_line.py
@@ -0,0 +1,334 @@
+"""Serve operators on the command line; `docs/operate` explains every command."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import tomllib
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import IntEnum
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from eliot import to_file
+
+from kingcuppulley.errors import KingcuppulleyError
+from kingcuppulley.operators.client import (
+    AdministrationClient,
+    AdministrationError,
+    UnreachableError,
+)
+from kingcuppulley.settings import (
+    SettingsFaults,
+    load_control_settings,
+    load_entry_settings,
+)
+
+
+class ExitCode(IntEnum):
+    """Name every exit code of the command line."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    FAULTY_SETTINGS = 3
+    REFUSED = 4
+    CONFLICT = 5
+    UNREACHABLE = 6
+
+
+application = typer.Typer(no_args_is_help=True, add_completion=False)
+template = typer.Typer(no_args_is_help=True)
+account = typer.Typer(no_args_is_help=True)
+zone = typer.Typer(no_args_is_help=True)
+application.add_typer(template, name="template", help="Accept and withdraw templates.")
+application.add_typer(account, name="account", help="Fill in templates for accounts.")
+application.add_typer(zone, name="zone", help="Take zones out of service and back.")
+
+SettingsFile = Annotated[Path, typer.Argument(help="A settings file in TOML.")]
+DocumentFile = Annotated[Path, typer.Argument(help="A document in TOML.")]
+ControlOption = Annotated[
+    str, typer.Option("--control", envvar="KINGCUPPULLEY_CONTROL", help="HOST:PORT")
+]
+TokenOption = Annotated[
+    str, typer.Option("--token", envvar="KINGCUPPULLEY_TOKEN", help="Your token.")
+]
+VersionOption = Annotated[
+    int | None, typer.Option("--version", help="The version that you saw.")
+]
+ChangeOption = Annotated[
+    str, typer.Option("--change-id", help="The same again on a resend.")
+]
+DryRunOption = Annotated[
+    bool, typer.Option("--dry-run", help="Show the difference, change nothing.")
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Write JSON for a script.")]
+
+
+@application.command()
+def entry(settings_file: SettingsFile) -> None:
+    """Run an entry host until it is told to stop; then leave without cutting."""
+    from kingcuppulley.composition import EntryDaemon
+
+    with _exit_codes():
+        settings = load_entry_settings(settings_file)
+        reactor = _start_logging_and_reactor()
+        daemon = EntryDaemon(settings, reactor)
+        _run(reactor, daemon.start, daemon.leave)
+
+
+@application.command()
+def control(
+    settings_file: SettingsFile,
+    initialise: Annotated[
+        bool, typer.Option("--initialise", help="First start of a deployment only.")
+    ] = False,
+) -> None:
+    """Run a control host, or make its data folder with --initialise."""
+    from kingcuppulley.composition import ControlDaemon, initialise_control_host
+
+    with _exit_codes():
+        settings = load_control_settings(settings_file)
+        if initialise:
+            initialise_control_host(settings)
+            return
+        reactor = _start_logging_and_reactor()
+        daemon = ControlDaemon(settings, reactor)
+        _run(reactor, daemon.start, daemon.stop)
+
+
+@application.command()
+def check(settings_file: SettingsFile) -> None:
+    """Check a settings file whole and name every fault."""
+    with _exit_codes():
+        text = tomllib.loads(settings_file.read_text())
+        if "data_folder" in text:
+            load_control_settings(settings_file)
+        else:
+            load_entry_settings(settings_file)
+        typer.echo(f"{settings_file}: no faults")
+
+
+@application.command()
+def status(
+    control_address: ControlOption, token: TokenOption, as_json: JsonOption = False
+) -> None:
+    """Show a control host, the versions in force and what could not be."""
+    with _exit_codes():
+        _show(AdministrationClient(control_address, token).get("/status"), as_json)
+
+
+@application.command()
+def audit(
+    control_address: ControlOption, token: TokenOption, as_json: JsonOption = False
+) -> None:
+    """Show who changed what and when."""
+    with _exit_codes():
+        _show(AdministrationClient(control_address, token).get("/audit"), as_json)
+
+
+@template.command("accept")
+def template_accept(
+    file: DocumentFile,
+    control_address: ControlOption,
+    token: TokenOption,
+    version: VersionOption = None,
+    change_id: ChangeOption = "",
+    dry_run: DryRunOption = False,
+    as_json: JsonOption = False,
+) -> None:
+    """Accept a new or changed template."""
+    _put(
+        "templates", file, control_address, token, version, change_id, dry_run, as_json
+    )
+
+
+@template.command("show")
+def template_show(
+    name: str,
+    control_address: ControlOption,
+    token: TokenOption,
+    as_json: JsonOption = False,
+) -> None:
+    """Show a template and its version."""
+    _get(f"/templates/{name}", control_address, token, as_json)
+
+
+@template.command("withdraw")
+def template_withdraw(
+    name: str,
+    control_address: ControlOption,
+    token: TokenOption,
+    version: VersionOption = None,
+    change_id: ChangeOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Withdraw a template that no client account uses."""
+    _withdraw(f"/templates/{name}", control_address, token, version, change_id, as_json)
+
+
+@account.command("accept")
+def account_accept(
+    file: DocumentFile,
+    control_address: ControlOption,
+    token: TokenOption,
+    version: VersionOption = None,
+    change_id: ChangeOption = "",
+    dry_run: DryRunOption = False,
+    as_json: JsonOption = False,
+) -> None:
+    """Accept a new or changed client account."""
+    _put("accounts", file, control_address, token, version, change_id, dry_run, as_json)
+
+
+@account.command("show")
+def account_show(
+    name: str,
+    control_address: ControlOption,
+    token: TokenOption,
+    as_json: JsonOption = False,
+) -> None:
+    """Show a client account and its version."""
+    _get(f"/accounts/{name}", control_address, token, as_json)
+
+
+@account.command("withdraw")
+def account_withdraw(
+    name: str,
+    control_address: ControlOption,
+    token: TokenOption,
+    version: VersionOption = None,
+    change_id: ChangeOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Withdraw a client account and its services."""
+    _withdraw(f"/accounts/{name}", control_address, token, version, change_id, as_json)
+
+
+@zone.command("out")
+def zone_out(
+    name: str,
+    control_address: ControlOption,
+    token: TokenOption,
+    change_id: ChangeOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Take an availability zone out of service and give up its flows."""
+    _set_zone(name, False, control_address, token, change_id, as_json)
+
+
+@zone.command("in")
+def zone_in(
+    name: str,
+    control_address: ControlOption,
+    token: TokenOption,
+    change_id: ChangeOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Bring an availability zone back into service."""
+    _set_zone(name, True, control_address, token, change_id, as_json)
+
+
+def _set_zone(
+    name: str,
+    in_service: bool,
+    address: str,
+    token: str,
+    change_id: str,
+    as_json: bool,
+) -> None:
+    with _exit_codes():
+        client = AdministrationClient(address, token)
+        document = {"name": name, "in_service": in_service}
+        path = f"/zones/{name}"
+        _show(client.change(path, document, None, change_id), as_json)
+
+
+def _put(
+    kind: str,
+    file: Path,
+    address: str,
+    token: str,
+    version: int | None,
+    change_id: str,
+    dry_run: bool,
+    as_json: bool,
+) -> None:
+    with _exit_codes():
+        document = tomllib.loads(file.read_text())
+        client = AdministrationClient(address, token)
+        path = f"/{kind}/{document.get('name', '')}"
+        answer = client.change(path, document, version, change_id, dry_run)
+        _show(answer, as_json)
+
+
+def _withdraw(
+    path: str,
+    address: str,
+    token: str,
+    version: int | None,
+    change_id: str,
+    as_json: bool,
+) -> None:
+    with _exit_codes():
+        client = AdministrationClient(address, token)
+        _show(client.change(path, None, version, change_id), as_json)
+
+
+def _get(path: str, address: str, token: str, as_json: bool) -> None:
+    with _exit_codes():
+        _show(AdministrationClient(address, token).get(path), as_json)
+
+
+def _show(document: Any, as_json: bool) -> None:
+    if as_json:
+        typer.echo(json.dumps(document))
+        return
+    if isinstance(document, list):
+        for element in document:
+            typer.echo(json.dumps(element))
+        return
+    for key, value in document.items():
+        text = value if isinstance(value, str) else json.dumps(value)
+        typer.echo(f"{key}: {text}")
+
+
+@contextmanager
+def _exit_codes() -> Iterator[None]:
+    try:
+        yield
+    except SettingsFaults as group:
+        for fault in group.exceptions:
+            typer.echo(str(fault), err=True)
+        raise typer.Exit(ExitCode.FAULTY_SETTINGS) from group
+    except AdministrationError as error:
+        typer.echo(str(error), err=True)
+        is_conflict = error.status == 409
+        code = ExitCode.CONFLICT if is_conflict else ExitCode.REFUSED
+        raise typer.Exit(code) from error
+    except UnreachableError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.UNREACHABLE) from error
+    except (KingcuppulleyError, OSError, tomllib.TOMLDecodeError) as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.FAILED) from error
+
+
+def _start_logging_and_reactor() -> Any:
+    from twisted.internet import reactor
+
+    to_file(sys.stdout)
+    return reactor
+
+
+def _run(reactor: Any, start: Callable[[], None], stop: Callable[[], None]) -> None:
+    def on_signal(_number: int, _frame: object) -> None:
+        reactor.callFromThread(stop)
+
+    reactor.callWhenRunning(start)
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    reactor.run(installSignalHandlers=False)
--- /dev/null
+++ b/src/kingcuppulley/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the systems around: backend servers and the fabric."""
