Hand flows over whenever ownership moves, and back up in another zone

Cause: 5 of 800 flows reached two targets when zone-c was taken out and an entry host left. Both copies of an exception stood in zone-c (owner and rank 1), and only a leaving host handed flows over, so a host whose zone left kept what it knew. Ruled out: late views (the former owner still answered) and the fallback choice.

Change: every change of owners walks the table and hands over what others own now; the backup is the first rank in another zone; the former owner is asked as well. A cold start lasts at least the declared cold_seconds before a limit rises. Ties among targets go to the one granted longest ago.

--- a/src/kingcuppulley/backend_servers/steward.py
+++ b/src/kingcuppulley/backend_servers/steward.py
@@ -59,12 +59,13 @@
 class StewardedTarget:
     """Hold one backend server with its limit and its leases."""
 
-    __slots__ = ("record", "limit", "leases")
+    __slots__ = ("record", "limit", "leases", "granted_at")
 
     def __init__(self, record: TargetRecord, limit: SlotLimit) -> None:
         self.record = record
         self.limit = limit
         self.leases: set[str] = set()
+        self.granted_at = 0.0
 
     def free(self, now: float) -> int:
         """Return how many more requests the backend server bears now."""
@@ -120,15 +121,10 @@
         return len(self._queue)
 
     def update_service(self, service: Service, now: float) -> None:
-        """Take a changed service; its limits start again where they shrank."""
-        changed = (service.slots, service.cold_slots) != (
-            self._service.slots,
-            self._service.cold_slots,
-        )
+        """Take a changed service."""
         self._service = service
-        if changed:
-            for target in self._targets.values():
-                target.limit = SlotLimit(service.cold_slots, service.slots)
+        for target in self._targets.values():
+            target.limit.update_service(service)
         self._serve_queue(now)
 
     def update_targets(self, records: Iterable[TargetRecord], now: float) -> None:
@@ -136,7 +132,7 @@
         seen = set()
         for record in records:
             seen.add(record.name)
-            self._update_target(record)
+            self._update_target(record, now)
         for name in self._targets.keys() - seen:
             if not self._targets[name].leases:
                 del self._targets[name]
@@ -216,10 +212,10 @@
             self._refuse(waiting, reason)
         self._serve_queue(now)
 
-    def _update_target(self, record: TargetRecord) -> None:
+    def _update_target(self, record: TargetRecord, now: float) -> None:
         target = self._targets.get(record.name)
         if target is None:
-            limit = SlotLimit(self._service.cold_slots, self._service.slots)
+            limit = SlotLimit(self._service, now)
             self._targets[record.name] = StewardedTarget(record, limit)
             return
         restarted = record.incarnation != target.record.incarnation
@@ -227,7 +223,7 @@
             record.state is TargetState.COLD
             and target.record.state is not TargetState.COLD
         ):
-            target.limit.became_cold()
+            target.limit.became_cold(now)
         target.record = record
 
     def _adopt(self, host: str, held: HeldLease, now: float) -> None:
@@ -255,6 +251,7 @@
         lease = SlotLease(waiting.lease, waiting.host, record.name, deadline)
         self._leases[lease.name] = lease
         target.leases.add(lease.name)
+        target.granted_at = now
         grant = SlotGrant(
             waiting.lease, record.name, record.host, record.request_port, LEASE_SECONDS
         )
@@ -267,7 +264,7 @@
             free = [t for t in free if t.record.name != avoid]
         if not free:
             return None
-        return min(free, key=lambda t: (t.utilisation(now), t.record.name))
+        return min(free, key=lambda t: (t.utilisation(now), t.granted_at))
 
     def _free(self, lease: SlotLease) -> None:
         self._leases.pop(lease.name, None)
--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -171,6 +171,7 @@
             self._own.name,
             port,
             self._metrics,
+            {host.name: host.zone for host in self._settings.entry_hosts},
             fabric.flow_generation_seconds,
             self._clock.now(),
         )
--- a/src/kingcuppulley/entry_hosts/host.py
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -55,6 +55,7 @@
 EXCEPTION_SECONDS = 0.1
 TRANSFER_SECONDS = 0.5
 RECORDS_PER_UPDATE = 64
+FLOWS_PER_MESSAGE = 8192
 
 
 class ClaimListener(Protocol):
@@ -205,8 +206,10 @@
         self._membership.leave()
         self._heartbeat_deadline = now
         self._refresh_view(now, force=True)
-        for host, groups in self._router.replication.hand_over(self._router.owners):
-            self._send_flows(host, groups, as_owner=True)
+        # All in one go: this host will not be there to be asked for long.
+        while self._router.replication.step():
+            pass
+        self._hand_over()
         for neighbour in self._membership.owners_of_zone(self._zone, now):
             self._claims.transfer_to(neighbour, now)
 
@@ -222,6 +225,7 @@
         self._expire_targets(now)
         self._router.tick(now)
         self._router.replication.step()
+        self._hand_over()
         self._copy_exceptions(now)
         for steward in self._stewards.values():
             steward.tick(now)
@@ -388,6 +392,10 @@
         self._spread([self._directory.mark(name, state)])
         self._refresh_targets(now)
 
+    def _hand_over(self) -> None:
+        for host, groups in self._router.replication.take_moved().items():
+            self._send_flows(host, groups, as_owner=True)
+
     def _copy_exceptions(self, now: float) -> None:
         if now < self._exception_deadline:
             return
@@ -398,9 +406,11 @@
 
     def _send_flows(self, host: str, groups: GroupedFlows, as_owner: bool) -> None:
         for target, flows in groups.items():
-            packed = array("Q", flows).tobytes()
-            self._metrics.count("flow_copy_bytes", len(packed))
-            self._sender.send(host, FlowCopies(target, packed, as_owner))
+            for start in range(0, len(flows), FLOWS_PER_MESSAGE):
+                piece = flows[start : start + FLOWS_PER_MESSAGE]
+                packed = array("Q", piece).tobytes()
+                self._metrics.count("flow_copy_bytes", len(packed))
+                self._sender.send(host, FlowCopies(target, packed, as_owner))
 
     def _spread(self, records: list[TargetRecord]) -> None:
         for host in self._live:
--- a/src/kingcuppulley/experiments/load.py
+++ b/src/kingcuppulley/experiments/load.py
@@ -15,10 +15,11 @@
 from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone, readBody
 from twisted.web.http_headers import Headers
 
 from kingcuppulley.backend_servers.http_client import BytesProducer
+from kingcuppulley.callers.gateway import ISSUE_PATH
 from kingcuppulley.errors import MalformedPacketError
 from kingcuppulley.experiments.history import RequestEvent
 from kingcuppulley.fabric.packet import read_header
@@ -87,7 +88,20 @@
     def _send_new(self, kind: RequestKind) -> None:
         number = next(self._serial)
         booking = f"b{number}-{self._generator.randrange(1 << 30)}"
-        key = f"k{booking}" if kind.is_keyed else ""
+        if kind.is_keyed:
+            self._fetch_key(kind, booking)
+        else:
+            self.send(kind, booking, "")
+
+    def _fetch_key(self, kind: RequestKind, booking: str) -> None:
+        host = self._generator.choice(self._hosts())
+        url = f"http://{host}:{kind.port}{ISSUE_PATH.decode()}".encode()
+        pending = self._agent.request(b"GET", url)
+        pending.addCallback(readBody)
+        pending.addCallback(lambda key: self._send_keyed(kind, booking, key.decode()))
+        pending.addErrback(lambda _: None)
+
+    def _send_keyed(self, kind: RequestKind, booking: str, key: str) -> None:
         self.send(kind, booking, key)
         if self._generator.random() < kind.repeat_share:
             delay = self._generator.uniform(0.0, 0.3)
--- a/src/kingcuppulley/experiments/processes.py
+++ b/src/kingcuppulley/experiments/processes.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import math
 import os
 import signal
 import subprocess
@@ -204,6 +205,7 @@
                     "tier": service.tier,
                     "zones": "${zones}",
                     "slots": "${slots}",
+                    "cold_seconds": math.ceil(service.cold_seconds),
                 }
             ],
         }
--- a/src/kingcuppulley/fabric/replication.py
+++ b/src/kingcuppulley/fabric/replication.py
@@ -35,6 +35,7 @@
         "_copied_to",
         "_backups",
         "_walk",
+        "_moved",
     )
 
     def __init__(
@@ -48,6 +49,7 @@
         self._copied_to: dict[int, str] = {}
         self._backups: dict[int, str] = {}
         self._walk: Iterator[int] = iter(())
+        self._moved: dict[str, GroupedFlows] = {}
 
     @property
     def pending_count(self) -> int:
@@ -70,15 +72,21 @@
             seen += 1
             number = self._flows.peek(flow)
             if number is not None:
-                self.note_if_exception(flow, self._targets.by_number(number))
+                self._look_at(flow, self._targets.by_number(number))
         return seen == WALK_FLOWS_PER_STEP
 
+    def take_moved(self) -> dict[str, GroupedFlows]:
+        """Return the flows that other hosts own by now, by host and target."""
+        moved = self._moved
+        self._moved = {}
+        return moved
+
     def note_if_exception(self, flow: int, target: PacketTarget) -> None:
         """Remember to copy a flow if a new owner would choose another target."""
         if self._targets.choose(target.service, flow) is target:
             self._pending.pop(flow, None)
             return
-        backup = self._backup_host(flow)
+        backup = self._owners.backup(flow)
         if backup is not None and self._copied_to.get(flow) != backup:
             self._pending[flow] = None
 
@@ -93,7 +101,7 @@
         batches: dict[str, GroupedFlows] = {}
         for flow in list(islice(self._pending, limit)):
             del self._pending[flow]
-            backup = self._backup_host(flow)
+            backup = self._owners.backup(flow)
             number = self._flows.peek(flow)
             if backup is None or number is None:
                 continue
@@ -102,21 +110,6 @@
             batches.setdefault(backup, {}).setdefault(name, []).append(flow)
         return batches
 
-    def hand_over(self, owners: OwnerTable) -> Iterator[tuple[str, GroupedFlows]]:
-        """Yield every flow in batches for the hosts that own them from now on."""
-        batches: dict[str, GroupedFlows] = {}
-        for flow in self._flows.flows():
-            ranked = owners.ranked(flow)
-            number = self._flows.peek(flow)
-            if not ranked or ranked[0] == self._name or number is None:
-                continue
-            name = self._targets.by_number(number).name
-            group = batches.setdefault(ranked[0], {}).setdefault(name, [])
-            group.append(flow)
-            if len(group) >= WALK_FLOWS_PER_STEP:
-                yield ranked[0], {name: batches[ranked[0]].pop(name)}
-        yield from batches.items()
-
     def store_backups(self, target_name: str, flows: Iterable[int]) -> None:
         """Keep copies of another host's flows, the oldest making room."""
         backups = self._backups
@@ -131,8 +124,13 @@
         """Return the target's name of a flow that this host backs up, or None."""
         return self._backups.get(flow)
 
-    def _backup_host(self, flow: int) -> str | None:
-        for host in self._owners.ranked(flow):
-            if host != self._name:
-                return host
-        return None
+    def _look_at(self, flow: int, target: PacketTarget) -> None:
+        ranked = self._owners.ranked(flow)
+        if not ranked or ranked[0] == self._name:
+            self.note_if_exception(flow, target)
+            return
+        # A host joined, or this one leaves or its zone was taken out.  The flow is
+        # handed over whether or not it is an exception: the new owner must know it
+        # before the choice changes the next time.
+        groups = self._moved.setdefault(ranked[0], {})
+        groups.setdefault(target.name, []).append(flow)
--- a/src/kingcuppulley/fabric/router.py
+++ b/src/kingcuppulley/fabric/router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 from kingcuppulley.backend_servers.records import TargetRecord
@@ -58,6 +58,7 @@
         name: str,
         port: PacketPort,
         metrics: Metrics,
+        zones: Mapping[str, str],
         flow_generation_seconds: float,
         now: float,
     ) -> None:
@@ -66,7 +67,7 @@
         self._counts = metrics.counts
         self._services: dict[int, Service] = {}
         self._targets = PacketTargets()
-        self._owners = OwnerTable()
+        self._owners = OwnerTable(zones)
         self._flows = FlowTable(flow_generation_seconds, now)
         self._waiting: dict[int, WaitingFlow] = {}
         self._waiting_order: deque[int] = deque()
@@ -195,14 +196,19 @@
         number = self._flows.get(flow)
         if number is not None:
             target = self._targets.by_number(number)
-            reopened = header.opens_flow and self._flows.is_ended(flow)
-            if target.service == service.identity and not reopened:
+            if target.service == service.identity and not (
+                header.opens_flow and self._may_reopen(flow, target)
+            ):
                 self._send(packet, flow, service, target)
                 if header.ends_flow:
                     self._flows.end(flow)
                 return
         backup = self._targets.by_name(self._replication.backup_target(flow) or "")
-        if backup is not None and backup.service == service.identity:
+        if (
+            backup is not None
+            and backup.service == service.identity
+            and not header.opens_flow
+        ):
             self._remember(flow, backup)
             self._send(packet, flow, service, backup)
             return
@@ -213,6 +219,11 @@
                 return
         self._open(packet, flow, service, header.protocol)
 
+    def _may_reopen(self, flow: int, target: PacketTarget) -> bool:
+        # The caller uses its port again, for a connection that no target knows yet.
+        is_lost = not self._targets.may_receive(target, target.service)
+        return is_lost or self._flows.is_ended(flow)
+
     def _open(self, packet: bytes, flow: int, service: Service, protocol: int) -> None:
         limit = max(1, service.connections // max(1, len(self._owners.hosts)))
         target = self._targets.choose_with_room(
@@ -250,7 +261,8 @@
     ) -> bool:
         waiting = self._waiting.get(flow)
         if waiting is None:
-            others = [h for h in self._owners.ranked(flow) if h != self._name]
+            others = self._owners.hosts_to_ask(flow)
+            others = [host for host in others if host != self._name]
             if not others or len(self._waiting) >= MAXIMUM_WAITING_FLOWS:
                 return False
             waiting = WaitingFlow(service, set(others), now + LEARN_SECONDS)
--- a/src/kingcuppulley/model.py
+++ b/src/kingcuppulley/model.py
@@ -56,6 +56,7 @@
     zones: list[str] | str
     slots: int | str = 2
     cold_slots: int | str = 1
+    cold_seconds: int | str = 10
     connections: int | str = 2000
 
 
@@ -98,6 +99,8 @@
         Requests that one warm backend server bears at a time.
     cold_slots : int
         Requests that one backend server in cold start bears at a time.
+    cold_seconds : int
+        Seconds that a cold start takes at most.
     connections : int
         Connections or flows that one backend server bears at a time.
     """
@@ -111,6 +114,7 @@
     zones: tuple[str, ...]
     slots: int
     cold_slots: int
+    cold_seconds: int
     connections: int
     announcement_token_hash: str
 
--- a/src/kingcuppulley/operators/templates.py
+++ b/src/kingcuppulley/operators/templates.py
@@ -97,6 +97,7 @@
         pattern.zones,
         pattern.slots,
         pattern.cold_slots,
+        pattern.cold_seconds,
         pattern.connections,
     ]
 
@@ -162,6 +163,9 @@
     cold = _whole(
         place, "cold_slots", pattern.cold_slots, values, 1, _HIGHEST_LIMIT, faults
     )
+    cold_seconds = _whole(
+        place, "cold_seconds", pattern.cold_seconds, values, 0, _HIGHEST_LIMIT, faults
+    )
     connections = _whole(
         place, "connections", pattern.connections, values, 1, _HIGHEST_LIMIT, faults
     )
@@ -183,6 +187,7 @@
         zones=tuple(zones),
         slots=slots,
         cold_slots=cold,
+        cold_seconds=cold_seconds,
         connections=connections,
         announcement_token_hash=account.announcement_token_hash,
     )
