Remember refused changes too, so that a resend always gets its first answer

Cause: a state machine found a change refused for a number not reached yet, whose resend was accepted once that number was reached: two answers to one change. Refusals were derived anew on each resend. The proposer's own votes were also counted nowhere, so an old copy of its disk went unnoticed.

Change: a register keeps every answered change with its answer, under a revision of its own. The proposer votes first and tells its count; a restarted host asks all others and waits up to 3 s for them.

--- a/src/kingcuppulley/control/acceptor.py
+++ b/src/kingcuppulley/control/acceptor.py
@@ -159,20 +159,25 @@
             self._votes,
         )
 
-    def accept(self, accept: Accept) -> Accepted:
-        """Accept a register if no higher ballot stands in its way."""
+    def accept(self, proposer: str, accept: Accept) -> Accepted:
+        """Accept a register if no higher ballot stands in its way.
+
+        The same write remembers how often the proposer has voted, so that whoever
+        makes a quorum with it can tell later that its disk is an old copy.
+        """
         standing = self._standing(accept.key)
         granted = accept.ballot >= standing
         if granted:
             entry = AcceptedEntry(accept.key, accept.ballot, accept.register)
-            self._write([AcceptRecord(entry)])
+            memory = self._newer_memory(proposer, PeerMemory(0, accept.votes))
+            self._write([PeerRecord(proposer, memory), AcceptRecord(entry)])
             standing = accept.ballot
         return Accepted(accept.key, accept.ballot, granted, standing, self._votes)
 
     def learn(self, register: Register) -> bool:
         """Take a chosen register and return whether it is newer than the known one."""
         known = self._chosen.get(register.key)
-        if known is not None and known.version >= register.version:
+        if known is not None and known.revision >= register.revision:
             return False
         self._write([ChosenRecord(register)])
         return True
@@ -180,9 +185,7 @@
     def remember_peer(self, host: str, memory: PeerMemory) -> PeerMemory:
         """Take a replica's numbers and return those that were remembered before."""
         before = self._peers.get(host, PeerMemory())
-        newer = PeerMemory(
-            max(before.boot, memory.boot), max(before.votes, memory.votes)
-        )
+        newer = self._newer_memory(host, memory)
         if newer != before:
             self._write([PeerRecord(host, newer)])
         return before
@@ -211,6 +214,12 @@
         """Stop voting, because the journal is older than votes that were given."""
         self._write([VotingRecord(False)])
 
+    def _newer_memory(self, host: str, memory: PeerMemory) -> PeerMemory:
+        before = self._peers.get(host, PeerMemory())
+        return PeerMemory(
+            max(before.boot, memory.boot), max(before.votes, memory.votes)
+        )
+
     def _standing(self, key: str) -> Ballot:
         return max(self._floor, self._promised.get(key, ZERO_BALLOT))
 
--- a/src/kingcuppulley/control/distribution.py
+++ b/src/kingcuppulley/control/distribution.py
@@ -40,7 +40,7 @@
     def take(self, register: Register) -> bool:
         """Take a chosen register unless an equal or newer one is known."""
         known = self._by_key.get(register.key)
-        if known is not None and known.version >= register.version:
+        if known is not None and known.revision >= register.revision:
             return False
         self._sequence += 1
         self._by_key[register.key] = register
--- a/src/kingcuppulley/control/messages.py
+++ b/src/kingcuppulley/control/messages.py
@@ -28,11 +28,15 @@
 
 
 class Accept(msgspec.Struct, frozen=True, tag="a"):
-    """Ask a replica to accept a register under a ballot."""
+    """Ask a replica to accept a register under a ballot.
+
+    `votes` counts the proposer's own votes, this one included.
+    """
 
     key: str
     ballot: Ballot
     register: Register
+    votes: int = 0
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="A"):
--- a/src/kingcuppulley/control/registers.py
+++ b/src/kingcuppulley/control/registers.py
@@ -44,25 +44,6 @@
     asked_at: float
 
 
-class AppliedChange(msgspec.Struct, frozen=True, array_like=True):
-    """Remember one change that a register took, for resends and for the audit."""
-
-    identifier: str
-    version: int
-    operator: str
-    asked_at: float
-    digest: int
-
-
-class Register(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the state of one key; `document` is None once it is withdrawn."""
-
-    key: str
-    version: int
-    document: bytes | None
-    applied: list[AppliedChange]
-
-
 class ChangeOutcome(StrEnum):
     """Name how a change ended."""
 
@@ -84,6 +65,31 @@
     winner_change: str = ""
 
 
+class AnsweredChange(msgspec.Struct, frozen=True, array_like=True):
+    """Remember one change and its answer, for resends and for the audit."""
+
+    identifier: str
+    operator: str
+    asked_at: float
+    digest: int
+    answer: ChangeAnswer
+
+
+class Register(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the state of one key; `document` is None once it is withdrawn.
+
+    `version` counts accepted changes and `revision` all answered ones: a refusal is
+    remembered as well, because its resend must get the same answer even where the
+    change would be accepted by then.
+    """
+
+    key: str
+    version: int
+    revision: int
+    document: bytes | None
+    answered: list[AnsweredChange]
+
+
 class ChangeResult(msgspec.Struct, frozen=True):
     """Hold the register to propose and the answer to give once it is chosen."""
 
@@ -97,39 +103,48 @@
     A register that stays as it is must be proposed again all the same: a value that
     was read may be accepted on a minority only, and an answer must not rest on it.
     """
-    applied = register.applied if register is not None else []
-    version = register.version if register is not None else 0
+    if register is None:
+        register = Register(change.key, 0, 0, None, [])
     digest = _digest(change)
-    for earlier in applied:
+    for earlier in register.answered:
         if earlier.identifier == change.identifier:
             return ChangeResult(register, _answer_again(earlier, change, digest))
-    if change.expected_version != version:
-        return ChangeResult(register, _conflict(change, version, applied))
-    entry = AppliedChange(
-        change.identifier, version + 1, change.operator, change.asked_at, digest
+    is_accepted = change.expected_version == register.version
+    version = register.version
+    document = register.document
+    if is_accepted:
+        version += 1
+        document = change.document if change.kind is ChangeKind.PUT else None
+        answer = ChangeAnswer(
+            outcome=ChangeOutcome.ACCEPTED, key=change.key, version=version
+        )
+    else:
+        answer = _conflict(change, register)
+    entry = AnsweredChange(
+        change.identifier, change.operator, change.asked_at, digest, answer
     )
-    document = change.document if change.kind is ChangeKind.PUT else None
-    kept = [*applied, entry][-REMEMBERED_CHANGES:]
-    answer = ChangeAnswer(
-        outcome=ChangeOutcome.ACCEPTED, key=change.key, version=version + 1
+    answered = [*register.answered, entry][-REMEMBERED_CHANGES:]
+    revision = register.revision + 1
+    changed = Register(change.key, version, revision, document, answered)
+    return ChangeResult(changed, answer)
+
+
+def _answer_again(earlier: AnsweredChange, change: Change, digest: int) -> ChangeAnswer:
+    if earlier.digest == digest:
+        return earlier.answer
+    return ChangeAnswer(
+        outcome=ChangeOutcome.IDENTIFIER_REUSED,
+        key=change.key,
+        version=earlier.answer.version,
     )
-    return ChangeResult(Register(change.key, version + 1, document, kept), answer)
-
 
-def _answer_again(earlier: AppliedChange, change: Change, digest: int) -> ChangeAnswer:
-    same = earlier.digest == digest
-    outcome = ChangeOutcome.ACCEPTED if same else ChangeOutcome.IDENTIFIER_REUSED
-    return ChangeAnswer(outcome=outcome, key=change.key, version=earlier.version)
 
-
-def _conflict(
-    change: Change, version: int, applied: list[AppliedChange]
-) -> ChangeAnswer:
-    # The winner is whoever took the number that this change was made for, and not
-    # the latest: a resend long after must get the same answer.
+def _conflict(change: Change, register: Register) -> ChangeAnswer:
+    # The winner is whoever took the number that this change was made for.
     contested = change.expected_version + 1
-    for entry in applied:
-        if entry.version == contested:
+    for entry in register.answered:
+        answer = entry.answer
+        if answer.outcome is ChangeOutcome.ACCEPTED and answer.version == contested:
             return ChangeAnswer(
                 outcome=ChangeOutcome.CONFLICT,
                 key=change.key,
@@ -137,7 +152,9 @@
                 winner=entry.operator,
                 winner_change=entry.identifier,
             )
-    return ChangeAnswer(outcome=ChangeOutcome.CONFLICT, key=change.key, version=version)
+    return ChangeAnswer(
+        outcome=ChangeOutcome.CONFLICT, key=change.key, version=register.version
+    )
 
 
 def _digest(change: Change) -> int:
--- a/src/kingcuppulley/control/replica.py
+++ b/src/kingcuppulley/control/replica.py
@@ -28,11 +28,13 @@
 from kingcuppulley.errors import (
     KingcuppulleyError,
     NotEnoughControlHostsError,
+    NotVotingError,
     StorageError,
 )
 from kingcuppulley.internal.tasks import Sender
 
 HELLO_SECONDS = 0.5
+CHECK_SECONDS = 3.0
 SETTLE_SECONDS = 2.0
 
 OnAnswer = Callable[[ChangeAnswer], None]
@@ -83,6 +85,8 @@
         self._counter = acceptor.highest_counter
         self._asked: list[AskedChange] = []
         self._hello_deadline = 0.0
+        self._hello_replies: set[str] = set()
+        self._check_deadline: float | None = None
         self._recover_replies: dict[str, RecoverReply] = {}
         self._unsettled: dict[str, float] = {}
         self._failed_writes = 0
@@ -110,6 +114,9 @@
         now: float,
     ) -> None:
         """Bring a change to a quorum and tell how it ended."""
+        if self._state is not ReplicaState.VOTING:
+            on_failure(NotVotingError(self._name, self._state.value))
+            return
         self._begin(change.key, change, on_answer, on_failure, now)
 
     def read(
@@ -127,14 +134,18 @@
         """Decide on one message; a vote that cannot be made durable is not given."""
         try:
             self._dispatch(host, body, now)
-        except StorageError:
+        except StorageError as error:
             self._failed_writes += 1
+            if host == self._name and isinstance(body, Prepare | Accept):
+                self._refuse_rounds(body.key, error)
 
     def tick(self, now: float) -> None:
         """Act on every deadline that has passed."""
         if self._state is not ReplicaState.VOTING and now >= self._hello_deadline:
             self._hello_deadline = now + HELLO_SECONDS
             self._greet()
+        if self._state is ReplicaState.CHECKING:
+            self._end_check(now)
         self._subscriber.tick(now)
         self._settle(now)
         for asked in self._asked:
@@ -171,7 +182,7 @@
                 remembered = self._acceptor.remember_peer(host, memory)
                 self._sender.send(host, HelloReply(body.boot, remembered))
             case HelloReply():
-                self._hello_answered(body)
+                self._hello_answered(host, body)
             case RecoverRequest():
                 self._help_recover(host, body)
             case RecoverReply():
@@ -187,7 +198,7 @@
         if isinstance(body, Prepare):
             self._sender.send(host, self._acceptor.prepare(body))
         else:
-            self._sender.send(host, self._acceptor.accept(body))
+            self._sender.send(host, self._acceptor.accept(host, body))
 
     def _greet(self) -> None:
         boot = self._acceptor.boot
@@ -196,7 +207,7 @@
             hello = Hello(boot, self._acceptor.votes)
             self._sender.send(host, RecoverRequest(boot) if recovering else hello)
 
-    def _hello_answered(self, reply: HelloReply) -> None:
+    def _hello_answered(self, host: str, reply: HelloReply) -> None:
         if self._state is not ReplicaState.CHECKING:
             return
         if reply.boot != self._acceptor.boot:
@@ -205,9 +216,24 @@
         if memory.boot > reply.boot or memory.votes > self._acceptor.votes:
             self._acceptor.stop_voting()
             self._state = ReplicaState.RECOVERING
-        else:
+            return
+        self._hello_replies.add(host)
+        if len(self._hello_replies) == len(self._others):
             self._state = ReplicaState.VOTING
 
+    def _end_check(self, now: float) -> None:
+        """Vote after a while though not all have answered, if a quorum could form.
+
+        Waiting for all would stop every change as soon as one host is lost and
+        another restarts.  The price: an old disk passes if, during this whole check,
+        just those hosts are cut off that had seen its later votes.
+        """
+        if self._check_deadline is None:
+            self._check_deadline = now + CHECK_SECONDS
+        if now >= self._check_deadline:
+            if len(self._hello_replies) >= len(self._hosts) // 2:
+                self._state = ReplicaState.VOTING
+
     def _help_recover(self, host: str, request: RecoverRequest) -> None:
         if self._state is not ReplicaState.VOTING:
             return
@@ -235,11 +261,17 @@
         self._counter = max(self._counter, floor.counter)
         self._state = ReplicaState.VOTING
 
+    def _refuse_rounds(self, key: str, error: StorageError) -> None:
+        for asked in self._asked:
+            if asked.round.key == key and not asked.round.is_done:
+                asked.round.abandon()
+                asked.on_failure(error)
+
     def _settle(self, now: float) -> None:
         """Finish what another host proposed, if nobody told that it was chosen."""
         for entry in self._acceptor.accepted_entries():
             known = self._publisher.get(entry.key)
-            if known is not None and known.version >= entry.register.version:
+            if known is not None and known.revision >= entry.register.revision:
                 self._unsettled.pop(entry.key, None)
                 continue
             deadline = self._unsettled.setdefault(entry.key, now + SETTLE_SECONDS)
@@ -256,6 +288,7 @@
         now: float,
     ) -> None:
         change_round = ChangeRound(
+            self._name,
             key,
             change,
             self._hosts,
--- a/src/kingcuppulley/control/round.py
+++ b/src/kingcuppulley/control/round.py
@@ -36,6 +36,7 @@
 
     def __init__(
         self,
+        name: str,
         key: str,
         change: Change | None,
         hosts: list[str],
@@ -52,6 +53,7 @@
         self._next_ballot = next_ballot
         self._on_answer = on_answer
         self._on_chosen = on_chosen
+        self._name = name
         self._deadline = now + CHANGE_SECONDS
         self._round_deadline = now
         self._ballot = ZERO_BALLOT
@@ -103,9 +105,15 @@
             self._restart_soon(now, host)
             return
         self._acceptances.add(host)
+        if host == self._name and len(self._acceptances) == 1:
+            self._spread(self._result, accepted.votes)
         if len(self._acceptances) >= self._quorum:
             self._finish(self._result)
 
+    def abandon(self) -> None:
+        """End without an answer; the caller tells the operator why."""
+        self._is_done = True
+
     def tick(self, now: float) -> None:
         """Begin again under a higher ballot once the round's deadline has passed."""
         if not self._is_done and now >= self._round_deadline:
@@ -126,9 +134,18 @@
             # A quorum has accepted nothing for this key, so there is nothing to keep.
             self._finish(self._result)
             return
+        # The proposer's own vote comes first.  If its disk fails, nothing was sent and
+        # the refusal is certain; if not, the others learn how often it has voted.
         accept = Accept(self._key, self._ballot, self._result.register)
+        self._sender.send(self._name, accept)
+
+    def _spread(self, result: ChangeResult, votes: int) -> None:
+        if result.register is None:
+            return
+        accept = Accept(self._key, self._ballot, result.register, votes)
         for host in self._hosts:
-            self._sender.send(host, accept)
+            if host != self._name:
+                self._sender.send(host, accept)
 
     def _finish(self, result: ChangeResult) -> None:
         self._is_done = True
--- a/src/kingcuppulley/errors.py
+++ b/src/kingcuppulley/errors.py
@@ -60,6 +60,16 @@
     """Report a message of another process that this version cannot decode."""
 
 
+class NotVotingError(KingcuppulleyError):
+    """Report that a control host takes no changes yet; nothing was accepted."""
+
+    def __init__(self, host: str, state: str) -> None:
+        super().__init__(
+            f"{host} is {state} and takes no changes yet; send the change to another "
+            "control host, or again in a few seconds"
+        )
+
+
 class NotEnoughControlHostsError(KingcuppulleyError):
     """Report that a majority of control hosts did not answer before the deadline."""
 
--- a/src/kingcuppulley/operators/administration.py
+++ b/src/kingcuppulley/operators/administration.py
@@ -139,14 +139,15 @@
         entries = [
             (change.asked_at, register.key, change)
             for register in self._replica.publisher.registers
-            for change in register.applied
+            for change in register.answered
         ]
         ordered = sorted(entries, key=lambda entry: (entry[0], entry[1]))
         lines = [
             AuditLine(
                 asked_at=asked_at,
                 key=key,
-                version=change.version,
+                version=change.answer.version,
+                outcome=change.answer.outcome.value,
                 operator=change.operator,
                 change=change.identifier,
             )
@@ -193,7 +194,7 @@
             operator=operator,
             asked_at=self._clock(),
         )
-        if not self._was_applied(change) and not self._is_valid(request, change):
+        if not self._was_answered(change) and not self._is_valid(request, change):
             return
         if request.args.get(b"dry-run"):
             self._dry_run(request, change)
@@ -205,12 +206,12 @@
             self._clock(),
         )
 
-    def _was_applied(self, change: Change) -> bool:
+    def _was_answered(self, change: Change) -> bool:
         # A resend gets its first answer even where the change would not pass the
         # checks any more, because others have changed things since.
         register = self._replica.publisher.get(change.key)
-        applied = register.applied if register is not None else []
-        return any(entry.identifier == change.identifier for entry in applied)
+        answered = register.answered if register is not None else []
+        return any(entry.identifier == change.identifier for entry in answered)
 
     def _is_valid(self, request: Request, change: Change) -> bool:
         configuration = render_configuration(self._replica.publisher.registers)
@@ -235,7 +236,7 @@
         registers = {r.key: r for r in self._replica.publisher.registers}
         before = render_configuration(registers.values()).services
         document = change.document if change.kind is ChangeKind.PUT else None
-        registers[change.key] = Register(change.key, 0, document, [])
+        registers[change.key] = Register(change.key, 0, 0, document, [])
         after = render_configuration(registers.values()).services
         common = before.keys() & after.keys()
         report = DryRun(
@@ -274,12 +275,18 @@
     asked_at: float
     key: str
     version: int
+    outcome: str
     operator: str
     change: str
 
 
 def _entry(register: Register) -> Entry:
-    latest = register.applied[-1]
+    accepted = [
+        entry
+        for entry in register.answered
+        if entry.answer.outcome is ChangeOutcome.ACCEPTED
+    ]
+    latest = accepted[-1] if accepted else register.answered[-1]
     document = register.document
     return Entry(
         key=register.key,
