Let a recovered control host count on from its earlier life

With a second lost disk at that moment nobody could recover. The poll epoch of a new life could also equal an earlier one's, hiding changes.

Change: replies to a recovering host carry what is remembered of it; it counts on from there. Epochs are random for each start.

--- a/src/kingcuppulley/control/acceptor.py
+++ b/src/kingcuppulley/control/acceptor.py
@@ -201,14 +201,22 @@
         self._write([FloorRecord(floor)])
         return floor
 
-    def recover(self, floor: Ballot, entries: Iterable[AcceptedEntry]) -> None:
-        """Take the state that a quorum holds, and vote from now on."""
+    def recover(
+        self, floor: Ballot, entries: Iterable[AcceptedEntry], earlier: PeerMemory
+    ) -> None:
+        """Take the state that a quorum holds, and vote from now on.
+
+        Starts and votes are counted on from what others remember of the earlier life;
+        else the next start would look like an old disk to them.
+        """
         records: list[Record] = [FloorRecord(floor)]
         for entry in entries:
             known = self._accepted.get(entry.key)
             if known is None or known.ballot < entry.ballot:
                 records.append(AcceptRecord(entry))
-        self._write([*records, VotingRecord(True)])
+        boot = max(self._boot, earlier.boot + 1)
+        votes = max(self._votes, earlier.votes) + len(records)
+        self._write([*records, BootRecord(boot, votes), VotingRecord(True)])
 
     def stop_voting(self) -> None:
         """Stop voting, because the journal is older than votes that were given."""
--- a/src/kingcuppulley/control/messages.py
+++ b/src/kingcuppulley/control/messages.py
@@ -91,9 +91,13 @@
 
 
 class RecoverReply(msgspec.Struct, frozen=True, tag="R"):
-    """Carry all that a voting replica has accepted, and the floor it has promised."""
+    """Carry all that a voting replica has accepted, and the floor it has promised.
+
+    `remembered` is what the asker's earlier life was seen to do.
+    """
 
     boot: int
+    remembered: PeerMemory
     floor: Ballot
     entries: list[AcceptedEntry]
 
--- a/src/kingcuppulley/control/replica.py
+++ b/src/kingcuppulley/control/replica.py
@@ -73,7 +73,7 @@
         self._others = [host for host in self._hosts if host != name]
         self._acceptor = acceptor
         self._sender = sender
-        self._publisher = Publisher(f"{name}:{acceptor.boot}")
+        self._publisher = Publisher(f"{name}:{generator.getrandbits(64):x}")
         for register in acceptor.chosen.values():
             self._publisher.take(register)
         self._subscriber = Subscriber(self._others, [], sender, self.learn, generator)
@@ -237,10 +237,11 @@
     def _help_recover(self, host: str, request: RecoverRequest) -> None:
         if self._state is not ReplicaState.VOTING:
             return
-        self._acceptor.remember_peer(host, PeerMemory(request.boot, 0))
+        memory = PeerMemory(request.boot, 0)
+        remembered = self._acceptor.remember_peer(host, memory)
         floor = self._acceptor.raise_floor(self._name)
         entries = self._acceptor.accepted_entries()
-        self._sender.send(host, RecoverReply(request.boot, floor, entries))
+        self._sender.send(host, RecoverReply(request.boot, remembered, floor, entries))
 
     def _recover(self, host: str, reply: RecoverReply) -> None:
         if self._state is not ReplicaState.RECOVERING:
@@ -257,7 +258,11 @@
             if known is None or known.ballot < entry.ballot:
                 newest[entry.key] = entry
         floor = max(reply.floor for reply in replies)
-        self._acceptor.recover(floor, newest.values())
+        earlier = PeerMemory(
+            max(reply.remembered.boot for reply in replies),
+            max(reply.remembered.votes for reply in replies),
+        )
+        self._acceptor.recover(floor, newest.values(), earlier)
         self._counter = max(self._counter, floor.counter)
         self._state = ReplicaState.VOTING
 
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -23,6 +23,7 @@
         self.answers: list[tuple[str, Any]] = []
         self.failures: list[tuple[str, Any]] = []
         self._serial = 0
+        self._starts = 0
         for name in self.names:
             journal = MemoryJournal()
             Acceptor.initialise(journal)
@@ -30,12 +31,13 @@
             self.start(name)
 
     def start(self, name: str) -> Replica:
+        self._starts += 1
         replica = Replica(
             name,
             self.names,
             Acceptor(self.journals[name]),
             self.network.sender(name),
-            seeded(len(self.names)),
+            seeded(self._starts),
         )
         self.replicas[name] = replica
         self.network.receivers[name] = replica.receive
--- a/tests/cover/test_control_hosts.py
+++ b/tests/cover/test_control_hosts.py
@@ -200,6 +200,23 @@
     assert cluster.version("control-2") == cluster.version("control-3") == 1
 
 
+def test_a_recovered_host_restarts_without_recovering_again():
+    """Its counts of starts and votes must go on from those of its earlier life."""
+    cluster = started()
+    for version in range(5):
+        cluster.accept("control-1", version)
+        cluster.crash("control-1")
+        cluster.start("control-1")
+        cluster.run(4.0)
+    cluster.lose_disk("control-1")
+    cluster.start("control-1")
+    cluster.run(4.0)
+    cluster.crash("control-1")
+    cluster.start("control-1")
+    cluster.run(1.0)
+    assert cluster.replicas["control-1"].state is ReplicaState.VOTING
+
+
 def test_five_hosts_survive_two_lost_disks_at_once():
     cluster = started(5)
     cluster.accept("control-1", 0)
