Cover slots, claims and requests under faults, and pass limits on to new stewards

Cause: a new steward began with cold limits, so a steward's death halved a service's slots until its servers had proved themselves again; equal grant times always chose the same server. Found by tests on the real cores with a fake network.

Change: a record carries the slots that a server has proved; grants are numbered.

--- a/src/kingcuppulley/backend_servers/directory.py
+++ b/src/kingcuppulley/backend_servers/directory.py
@@ -72,7 +72,10 @@
             # It was silent for a while, and nobody knows what it went through.
             state = TargetState.COLD
         newer = msgspec.structs.replace(
-            record, state=state, revision=known.revision + 1
+            record,
+            state=state,
+            revision=known.revision + 1,
+            proven_slots=known.proven_slots,
         )
         if msgspec.structs.replace(newer, revision=known.revision) == known:
             return None
@@ -98,7 +101,17 @@
         """Change the state of a backend server and return the record to spread."""
         known = self._records[name]
         return self._store(
-            msgspec.structs.replace(known, state=state, revision=known.revision + 1)
+            msgspec.structs.replace(
+                known, state=state, revision=known.revision + 1, proven_slots=0
+            )
+        )
+
+    def prove(self, name: str, slots: int) -> TargetRecord:
+        """Note how many slots a server has proved to bear, and return its record."""
+        known = self._records[name]
+        revision = known.revision + 1
+        return self._store(
+            msgspec.structs.replace(known, revision=revision, proven_slots=slots)
         )
 
     def unwatch(self, name: str) -> None:
--- a/src/kingcuppulley/backend_servers/limits.py
+++ b/src/kingcuppulley/backend_servers/limits.py
@@ -36,14 +36,20 @@
         "_cold_until_deadline",
     )
 
-    def __init__(self, service: Service, now: float) -> None:
+    def __init__(self, service: Service, proven_slots: int, now: float) -> None:
         self._service = service
-        self._limit = service.cold_slots
+        # A new steward goes on from what the former one had found out.
+        self._limit = min(service.slots, max(service.cold_slots, proven_slots))
         self._successes = 0
         self._average_seconds = 0.0
         self._backoff_until_deadline = 0.0
         self._cold_until_deadline = now + service.cold_seconds
 
+    @property
+    def proven(self) -> int:
+        """Return the limit apart from any pause."""
+        return self._limit
+
     @property
     def slots(self) -> int:
         """Return the slots that the backend server bears when warm."""
--- a/src/kingcuppulley/backend_servers/records.py
+++ b/src/kingcuppulley/backend_servers/records.py
@@ -21,6 +21,7 @@
 
     `incarnation` grows with each start of the backend server and `revision` with each
     change that an entry host records, so that the larger pair is always the newer.
+    `proven_slots` is the limit that its steward had reached, for the next steward.
     """
 
     name: str
@@ -32,6 +33,7 @@
     state: TargetState
     incarnation: int
     revision: int = 0
+    proven_slots: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
--- a/src/kingcuppulley/backend_servers/steward.py
+++ b/src/kingcuppulley/backend_servers/steward.py
@@ -59,13 +59,13 @@
 class StewardedTarget:
     """Hold one backend server with its limit and its leases."""
 
-    __slots__ = ("record", "limit", "leases", "granted_at")
+    __slots__ = ("record", "limit", "leases", "last_grant")
 
     def __init__(self, record: TargetRecord, limit: SlotLimit) -> None:
         self.record = record
         self.limit = limit
         self.leases: set[str] = set()
-        self.granted_at = 0.0
+        self.last_grant = 0
 
     def free(self, now: float) -> int:
         """Return how many more requests the backend server bears now."""
@@ -100,6 +100,7 @@
         self._targets: dict[str, StewardedTarget] = {}
         self._leases: dict[str, SlotLease] = {}
         self._queue: deque[WaitingRequest] = deque()
+        self._grants = 0
         self._unanswered = set(hosts)
         self._learn_deadline = now + LEASE_SECONDS + LEASE_MARGIN_SECONDS
         for host in sorted(self._unanswered):
@@ -120,6 +121,15 @@
         """Return how many requests wait for a slot."""
         return len(self._queue)
 
+    def proven_limits(self) -> dict[str, int]:
+        """Return the limit of each backend server that differs from its record."""
+        return {
+            name: target.limit.proven
+            for name, target in self._targets.items()
+            if target.record.proven_slots != target.limit.proven
+            and target.record.state is not TargetState.GONE
+        }
+
     def update_service(self, service: Service, now: float) -> None:
         """Take a changed service."""
         self._service = service
@@ -215,7 +225,7 @@
     def _update_target(self, record: TargetRecord, now: float) -> None:
         target = self._targets.get(record.name)
         if target is None:
-            limit = SlotLimit(self._service, now)
+            limit = SlotLimit(self._service, record.proven_slots, now)
             self._targets[record.name] = StewardedTarget(record, limit)
             return
         restarted = record.incarnation != target.record.incarnation
@@ -251,7 +261,8 @@
         lease = SlotLease(waiting.lease, waiting.host, record.name, deadline)
         self._leases[lease.name] = lease
         target.leases.add(lease.name)
-        target.granted_at = now
+        self._grants += 1
+        target.last_grant = self._grants
         grant = SlotGrant(
             waiting.lease, record.name, record.host, record.request_port, LEASE_SECONDS
         )
@@ -264,7 +275,7 @@
             free = [t for t in free if t.record.name != avoid]
         if not free:
             return None
-        return min(free, key=lambda t: (t.utilisation(now), t.granted_at))
+        return min(free, key=lambda t: (t.utilisation(now), t.last_grant))
 
     def _free(self, lease: SlotLease) -> None:
         self._leases.pop(lease.name, None)
--- a/src/kingcuppulley/entry_hosts/host.py
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -227,8 +227,9 @@
         self._router.replication.step()
         self._hand_over()
         self._copy_exceptions(now)
-        for steward in self._stewards.values():
+        for steward in list(self._stewards.values()):
             steward.tick(now)
+        self._spread_limits(now)
         self._slots.tick(now)
         self._claims.tick(now)
         self._ask_transfer(now)
@@ -396,6 +397,16 @@
         for host, groups in self._router.replication.take_moved().items():
             self._send_flows(host, groups, as_owner=True)
 
+    def _spread_limits(self, now: float) -> None:
+        proven = [
+            self._directory.prove(name, slots)
+            for steward in self._stewards.values()
+            for name, slots in steward.proven_limits().items()
+        ]
+        if proven:
+            self._spread(proven)
+            self._refresh_targets(now)
+
     def _copy_exceptions(self, now: float) -> None:
         if now < self._exception_deadline:
             return
--- /dev/null
+++ b/tests/cover/test_claims.py
@@ -0,0 +1,173 @@
+"""Cover idempotency keys: a keyed request runs at most once, whatever fails."""
+
+import pytest
+
+from kingcuppulley.entry_hosts.claims import RETENTION_SECONDS, IssuedKey, home_zone
+from kingcuppulley.entry_hosts.messages import (
+    ClaimRequest,
+    ClaimResult,
+    ClaimVerdict,
+)
+from tests.entry_cluster import EntryCluster
+
+OWN_KEY = "a-key-of-the-callers-own"
+
+
+class Claims:
+    """Claim keys as the gateways of a cluster, and remember each verdict."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.verdicts = {}
+        self.serial = 0
+
+    def claim_answered(self, answer, now):
+        self.verdicts[answer.claim] = answer
+
+    def homes(self, name, key):
+        host = self.cluster.hosts[name]
+        zone = home_zone(key, host.zones)
+        return host.homes_of(key, zone, self.cluster.network.now)
+
+    def ask(self, name, key, fingerprint="same"):
+        self.serial += 1
+        claim = f"{name}.{self.serial}"
+        self.cluster.hosts[name].expect_claim(claim, self)
+        home = self.homes(name, key)[0]
+        request = ClaimRequest(claim, key, fingerprint)
+        self.cluster.network.sender(name).send(home, request)
+        self.cluster.network.settle()
+        return claim
+
+    def verdict(self, claim):
+        answer = self.verdicts.get(claim)
+        return answer.verdict if answer is not None else None
+
+    def end(self, name, claim, key, status, body=b"booked"):
+        for home in self.homes(name, key):
+            result = ClaimResult(claim, key, status, body, "text/plain")
+            self.cluster.network.sender(name).send(home, result)
+        self.cluster.network.settle()
+
+
+@pytest.fixture
+def claims():
+    cluster = EntryCluster()
+    cluster.run(3.0)
+    return Claims(cluster)
+
+
+def issued(cluster, zone="zone-a"):
+    return IssuedKey.format(zone, cluster.network.now, "0123")
+
+
+def test_the_first_request_runs_and_a_repeat_gets_its_answer(claims):
+    key = issued(claims.cluster)
+    first = claims.ask("entry-1", key)
+    assert claims.verdict(first) is ClaimVerdict.GRANTED
+    claims.end("entry-1", first, key, 200)
+    repeat = claims.verdicts[claims.ask("entry-7", key)]
+    assert (repeat.verdict, repeat.status, repeat.body) == (
+        ClaimVerdict.REPEAT,
+        200,
+        b"booked",
+    )
+
+
+def test_a_repeat_of_a_request_that_runs_does_not_run(claims):
+    key = issued(claims.cluster)
+    claims.ask("entry-1", key)
+    assert claims.verdict(claims.ask("entry-7", key)) is ClaimVerdict.RUNNING
+
+
+def test_a_key_is_free_again_once_its_request_did_not_run(claims):
+    key = issued(claims.cluster)
+    first = claims.ask("entry-1", key)
+    claims.end("entry-1", first, key, 0)
+    assert claims.verdict(claims.ask("entry-2", key)) is ClaimVerdict.GRANTED
+
+
+def test_a_key_of_another_request_is_refused(claims):
+    key = issued(claims.cluster)
+    claims.ask("entry-1", key)
+    other = claims.ask("entry-1", key, fingerprint="other")
+    assert claims.verdict(other) is ClaimVerdict.MISMATCH
+
+
+def test_a_claim_outlives_the_death_of_its_home(claims):
+    key = issued(claims.cluster)
+    claims.ask("entry-8", key)
+    claims.cluster.kill(claims.homes("entry-8", key)[0])
+    claims.cluster.run(3.0)
+    assert claims.verdict(claims.ask("entry-8", key)) is ClaimVerdict.RUNNING
+
+
+def test_a_claim_outlives_the_restart_of_every_host_of_its_zone_in_turn(claims):
+    key = issued(claims.cluster)
+    first = claims.ask("entry-8", key)
+    claims.end("entry-8", first, key, 200)
+    for name in ("entry-1", "entry-2", "entry-3"):
+        claims.cluster.kill(name)
+        claims.cluster.run(3.0)
+        claims.cluster.start(name)
+        claims.cluster.run(3.0)
+    assert claims.verdict(claims.ask("entry-8", key)) is ClaimVerdict.REPEAT
+
+
+def test_an_issued_key_from_before_a_whole_zone_was_lost_is_unknown(claims):
+    key = issued(claims.cluster)
+    claims.ask("entry-8", key)
+    for name in ("entry-1", "entry-2", "entry-3"):
+        claims.cluster.kill(name)
+    claims.cluster.run(3.0)
+    for name in ("entry-1", "entry-2", "entry-3"):
+        claims.cluster.start(name)
+    claims.cluster.run(3.0)
+    assert claims.verdict(claims.ask("entry-8", key)) is ClaimVerdict.UNKNOWN
+    fresh = issued(claims.cluster)
+    assert claims.verdict(claims.ask("entry-8", fresh)) is ClaimVerdict.GRANTED
+
+
+def test_a_callers_own_key_runs_only_once_nothing_earlier_can_be_forgotten(claims):
+    assert claims.verdict(claims.ask("entry-1", OWN_KEY)) is ClaimVerdict.UNKNOWN
+    claims.cluster.network.now += RETENTION_SECONDS
+    claims.cluster.run(3.0)
+    assert claims.verdict(claims.ask("entry-1", OWN_KEY)) is ClaimVerdict.GRANTED
+
+
+def test_a_cut_zone_still_grants_the_keys_that_it_issued(claims):
+    cluster = claims.cluster
+    inside = ["entry-4", "entry-5"]
+    cluster.network.cut(inside, [n for n in cluster.names if n not in inside])
+    cluster.run(3.0)
+    key = issued(cluster, "zone-b")
+    assert claims.verdict(claims.ask("entry-4", key)) is ClaimVerdict.GRANTED
+    cluster.network.heal()
+    cluster.run(3.0)
+    assert claims.verdict(claims.ask("entry-1", key)) is ClaimVerdict.RUNNING
+
+
+def test_a_home_that_cannot_reach_its_copies_grants_nothing(claims):
+    cluster = claims.cluster
+    key = issued(cluster)
+    home, *copies = claims.homes("entry-1", key)
+    cluster.network.cut([home], copies)
+    claim = claims.ask(home, key)
+    assert claims.verdict(claim) is None
+    cluster.run(0.5)
+    assert claims.verdict(claim) is ClaimVerdict.UNAVAILABLE
+
+
+def test_two_hosts_that_both_take_themselves_for_the_home_do_not_both_grant(claims):
+    cluster = claims.cluster
+    key = issued(cluster)
+    home, second, _ = claims.homes("entry-8", key)
+    sender = cluster.network.sender("entry-8")
+    for claim in ("one", "two"):
+        cluster.hosts["entry-8"].expect_claim(claim, claims)
+    cluster.hosts[second].claims._ranked = lambda key, now: [second, home]
+    sender.send(home, ClaimRequest("one", key, "same"))
+    sender.send(second, ClaimRequest("two", key, "same"))
+    cluster.network.settle()
+    verdicts = [claims.verdict("one"), claims.verdict("two")]
+    assert verdicts.count(ClaimVerdict.GRANTED) <= 1
--- /dev/null
+++ b/tests/cover/test_slot_limits.py
@@ -0,0 +1,206 @@
+"""Cover slot leases: one steward counts, and limits rise slowly and fall at once."""
+
+import pytest
+
+from kingcuppulley.backend_servers.limits import SlotLimit
+from kingcuppulley.backend_servers.records import TargetState
+from kingcuppulley.entry_hosts.messages import AttemptOutcome, LeaseQuery
+from tests.entry_cluster import ORDER_DESK, EntryCluster, make_service
+
+ZONE = "zone-b"
+
+
+class SlotUser:
+    """Use one slot and remember what it was told."""
+
+    def __init__(self):
+        self.grant = None
+        self.refusal = None
+        self.is_lost = False
+
+    def slot_granted(self, grant):
+        self.grant = grant
+
+    def slot_refused(self, reason):
+        self.refusal = reason
+
+    def lease_lost(self):
+        self.is_lost = True
+
+
+class Requests:
+    """Ask for slots as the gateways of a cluster and count what is in use."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.users = {}
+        self.serial = 0
+
+    def ask(self, name, wait=0.0):
+        self.serial += 1
+        lease = f"{name}.{self.serial}"
+        host = self.cluster.hosts[name]
+        now = self.cluster.network.now
+        steward = host.steward_of(ORDER_DESK.identity, ZONE, now)
+        user = SlotUser()
+        self.users[lease] = (name, user)
+        host.slots.request(
+            lease, user, ORDER_DESK.identity, ZONE, steward, wait, None, now
+        )
+        self.cluster.network.settle()
+        return lease
+
+    def end(self, lease, outcome=AttemptOutcome.ANSWERED):
+        name, _ = self.users.pop(lease)
+        now = self.cluster.network.now
+        self.cluster.hosts[name].slots.release(lease, outcome, now)
+        self.cluster.network.settle()
+
+    def in_use(self):
+        used = {}
+        for name, user in self.users.values():
+            if name in self.cluster.hosts and user.grant and not user.is_lost:
+                target = user.grant.target
+                used[target] = used.get(target, 0) + 1
+        return used
+
+    def granted(self):
+        return [lease for lease, (_, user) in self.users.items() if user.grant]
+
+
+@pytest.fixture
+def requests():
+    cluster = EntryCluster()
+    for number in range(3):
+        cluster.announce(f"desk-{number}", ORDER_DESK, ZONE)
+    cluster.run(6.0)
+    return Requests(cluster)
+
+
+def warm_up(requests):
+    for _ in range(30):
+        requests.end(requests.ask("entry-1"))
+    requests.cluster.run(0.2)
+    assert not requests.in_use()
+
+
+def test_eight_gateways_together_stay_within_the_slots(requests):
+    warm_up(requests)
+    for name in requests.cluster.names * 4:
+        requests.ask(name)
+    assert requests.in_use() == {"desk-0": 2, "desk-1": 2, "desk-2": 2}
+
+
+def test_cold_servers_get_what_cold_servers_bear(requests):
+    for name in requests.cluster.names:
+        requests.ask(name)
+    assert requests.in_use() == {"desk-0": 1, "desk-1": 1, "desk-2": 1}
+
+
+def test_a_shed_lowers_the_limit_at_once(requests):
+    warm_up(requests)
+    lease = requests.ask("entry-1")
+    target = requests.users[lease][1].grant.target
+    requests.end(lease, AttemptOutcome.SHED)
+    requests.cluster.run(0.6)
+    for name in requests.cluster.names * 2:
+        requests.ask(name)
+    assert requests.in_use()[target] == 1
+
+
+def test_a_request_waits_for_a_slot_and_gets_the_next_free_one(requests):
+    warm_up(requests)
+    leases = [requests.ask("entry-1") for _ in range(6)]
+    waiting = requests.ask("entry-2", wait=1.0)
+    assert requests.users[waiting][1].grant is None
+    requests.end(leases[0])
+    assert requests.users[waiting][1].grant is not None
+
+
+def test_a_new_steward_counts_what_the_old_one_had_granted(requests):
+    warm_up(requests)
+    cluster = requests.cluster
+    for _ in range(6):
+        requests.ask("entry-1")
+    steward = cluster.hosts["entry-1"].steward_of(
+        ORDER_DESK.identity, ZONE, cluster.network.now
+    )
+    cluster.kill(steward)
+    cluster.run(3.0)
+    for name in sorted(cluster.hosts):
+        requests.ask(name, wait=3.0)
+    cluster.run(4.0)
+    assert max(requests.in_use().values()) <= 2
+    assert sum(requests.in_use().values()) == 6
+
+
+def test_a_grant_that_a_replaced_steward_sent_is_given_back(requests):
+    cluster = requests.cluster
+    host = cluster.hosts["entry-1"]
+    now = cluster.network.now
+    user = SlotUser()
+    steward = host.steward_of(ORDER_DESK.identity, ZONE, now)
+    other = next(n for n in ("entry-4", "entry-5") if n != steward)
+    host.slots.request("late", user, ORDER_DESK.identity, ZONE, steward, 0, None, now)
+    host.receive(other, LeaseQuery(ORDER_DESK.identity, ZONE), now)
+    cluster.network.settle()
+    assert user.grant is None
+    assert user.refusal is not None
+
+
+def test_a_gateway_that_cannot_renew_stops_before_its_slot_is_given_to_another(
+    requests,
+):
+    warm_up(requests)
+    cluster = requests.cluster
+    leases = [requests.ask("entry-1") for _ in range(6)]
+    cluster.network.cut(["entry-1"], [n for n in cluster.names if n != "entry-1"])
+    for _ in range(120):
+        cluster.run(0.05)
+        requests.ask("entry-2")
+        assert max(requests.in_use().values(), default=0) <= 2
+    assert all(requests.users[lease][1].is_lost for lease in leases)
+    assert sum(requests.in_use().values()) > 0
+
+
+def test_a_silent_backend_server_gets_nothing_and_comes_back_cold(requests):
+    warm_up(requests)
+    cluster = requests.cluster
+    cluster.silence("desk-1")
+    cluster.run(4.0)
+    for name in cluster.names * 2:
+        requests.ask(name)
+    assert "desk-1" not in requests.in_use()
+    cluster.announce("desk-1", ORDER_DESK, ZONE)
+    cluster.run(1.0)
+    for name in cluster.names * 2:
+        requests.ask(name)
+    assert requests.in_use()["desk-1"] == 1
+
+
+def test_a_zone_that_is_out_grants_nothing(requests):
+    requests.cluster.configure(zones_out=frozenset({ZONE}))
+    requests.cluster.run(1.0)
+    requests.ask("entry-1")
+    assert not requests.granted()
+
+
+def test_a_limit_waits_for_the_end_of_a_cold_start_before_it_rises():
+    service = make_service("desk", "192.0.2.1", ORDER_DESK.tier, cold_seconds=5)
+    limit = SlotLimit(service, 0, now=0.0)
+    for second in range(5):
+        limit.record(AttemptOutcome.ANSWERED, 0.03, float(second))
+    assert limit.current(TargetState.WARM, 4.9) == 1
+    for _ in range(3):
+        limit.record(AttemptOutcome.ANSWERED, 0.03, 5.1)
+    assert limit.current(TargetState.WARM, 5.2) == 2
+    assert limit.current(TargetState.COLD, 5.2) == 1
+
+
+def test_a_sudden_rise_in_service_time_counts_as_a_fall_into_cold_start():
+    limit = SlotLimit(ORDER_DESK, 0, now=0.0)
+    for _ in range(10):
+        limit.record(AttemptOutcome.ANSWERED, 0.06, 1.0)
+    assert limit.current(TargetState.WARM, 1.0) == 2
+    limit.record(AttemptOutcome.ANSWERED, 0.3, 2.0)
+    assert limit.current(TargetState.WARM, 2.0) == 1
