Let a starting host stand aside until it knows, and make heartbeats small

Cause: a host that had just started saw nobody, took itself for every flow's owner and guessed: 3 of 300 flows moved when it joined. Tests also found that a claim was granted twice after all hosts of a zone restarted in turn, because a host that starts was not ranked yet when claims were handed to it. Heartbeats named every host in full, which at 170 hosts would take more than a node may spend on control.

Change: a host owns nothing until it has records and its neighbours' claims, or nobody answers for 3 s. A lone home needs a witness in another zone. A heartbeat carries two bytes of name and two of age a host. Stewards are cached for each view.

The slots state machine had counted leases of killed processes; the trace showed that their connections die with them, so they are dropped at the kill.

--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -80,7 +80,6 @@
         self._host = EntryHost(
             self._own.name,
             settings.entry_hosts,
-            incarnation,
             self._entry_peers,
             self._router,
             self._metrics,
--- a/src/kingcuppulley/entry_hosts/claims.py
+++ b/src/kingcuppulley/entry_hosts/claims.py
@@ -4,6 +4,11 @@
 more hosts of the zone copy it, before a byte of the request leaves.  A copy is also a
 question: a host that has the key already names its holder, so a home that has just
 taken over learns of earlier claims in the same step, without a transfer first.
+
+A home that sees no other host of its zone may be the last one, or may be cut off from
+the others while they take themselves for the home.  It then copies to a witness, the
+host of another zone that the key's hash names, where the two would meet.  A whole
+zone that is cut off needs no witness, because its hosts copy to each other.
 """
 
 from __future__ import annotations
@@ -33,7 +38,13 @@
     """Tell which hosts of a zone live now."""
 
     def owners_of_zone(self, zone: str, now: float) -> list[str]:
-        """Return the live hosts of a zone that are not leaving."""
+        """Return the live hosts of a zone that do not stand aside."""
+
+    def live_hosts(self, now: float) -> list[str]:
+        """Return the live hosts of every zone."""
+
+    def configured_in(self, zone: str) -> int:
+        """Return how many hosts a zone has, live or not."""
 
 
 class IssuedKey:
@@ -89,14 +100,13 @@
 class PendingClaim:
     """Hold a claim that waits for its copies."""
 
-    __slots__ = ("key", "asker", "unanswered", "deadline")
+    __slots__ = ("key", "asker", "asked", "unanswered", "deadline")
 
-    def __init__(
-        self, key: str, asker: str, unanswered: set[str], deadline: float
-    ) -> None:
+    def __init__(self, key: str, asker: str, asked: list[str], deadline: float) -> None:
         self.key = key
         self.asker = asker
-        self.unanswered = unanswered
+        self.asked = asked
+        self.unanswered = set(asked)
         self.deadline = deadline
 
 
@@ -147,12 +157,12 @@
         deadline = now + RETENTION_SECONDS
         record = ClaimRecord(request.claim, request.fingerprint, deadline)
         self._records[request.key] = record
-        copies = ranked[1 : 1 + COPIES]
+        copies = ranked[1 : 1 + COPIES] or self._witness(request.key, now)
         if not copies:
-            self._answer(asker, request.claim, ClaimVerdict.GRANTED)
+            self._grant_alone(asker, request)
             return
         self._pending[request.claim] = PendingClaim(
-            request.key, asker, set(copies), now + COPY_SECONDS
+            request.key, asker, copies, now + COPY_SECONDS
         )
         for host in copies:
             self._sender.send(host, self._copy_of(request.key, record, now))
@@ -181,7 +191,7 @@
         if copied.holder != copied.claim:
             del self._pending[copied.claim]
             self._drop_own(copied.key, copied.claim)
-            self._free_copies(copied.key, copied.claim, pending.unanswered)
+            self._free_copies(copied.key, copied.claim, pending.asked)
             self._answer(pending.asker, copied.claim, ClaimVerdict.RUNNING)
             return
         pending.unanswered.discard(host)
@@ -204,8 +214,10 @@
 
     def transfer_to(self, host: str, now: float) -> None:
         """Send a host that has started every claim that it should hold."""
+        # A host that has just started stands aside, but will be ranked soon.
+        ranked_soon = {host, *self._view.owners_of_zone(self._zone, now)}
         for key, record in self._records.items():
-            if host in self._ranked(key, now)[: 1 + COPIES]:
+            if host in rank_names(key, ranked_soon)[: 1 + COPIES]:
                 self._sender.send(host, self._copy_of(key, record, now))
         age = max(0.0, now - self._vouches_since)
         self._sender.send(host, ClaimTransferDone(age))
@@ -221,11 +233,23 @@
                 continue
             del self._pending[claim]
             self._drop_own(pending.key, claim)
-            self._free_copies(pending.key, claim, self._others(pending.key, now))
+            self._free_copies(pending.key, claim, pending.asked)
             self._answer(pending.asker, claim, ClaimVerdict.UNAVAILABLE)
         for key in [k for k, r in self._records.items() if r.deadline <= now]:
             del self._records[key]
 
+    def _witness(self, key: str, now: float) -> list[str]:
+        zone_hosts = self._view.owners_of_zone(self._zone, now)
+        others = set(self._view.live_hosts(now)).difference(zone_hosts)
+        return list(rank_names(key, others))[:1]
+
+    def _grant_alone(self, asker: str, request: ClaimRequest) -> None:
+        if self._view.configured_in(self._zone) == 1:
+            self._answer(asker, request.claim, ClaimVerdict.GRANTED)
+            return
+        self._drop_own(request.key, request.claim)
+        self._answer(asker, request.claim, ClaimVerdict.UNAVAILABLE)
+
     def _vouches_for(self, key: str, now: float) -> bool:
         if now - self._vouches_since >= RETENTION_SECONDS:
             return True
@@ -272,9 +296,6 @@
         for host in sorted(hosts):
             self._sender.send(host, ClaimResult(claim, key, 0, b"", ""))
 
-    def _others(self, key: str, now: float) -> list[str]:
-        return [h for h in self._ranked(key, now) if h != self._name][: 1 + COPIES]
-
     def _ranked(self, key: str, now: float) -> list[str]:
         hosts = self._view.owners_of_zone(self._zone, now)
         return list(rank_names(key, hosts))
--- a/src/kingcuppulley/entry_hosts/host.py
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -12,11 +12,7 @@
 from kingcuppulley.backend_servers.steward import Steward
 from kingcuppulley.callers.slot_client import SlotClient
 from kingcuppulley.entry_hosts.claims import ClaimRegister
-from kingcuppulley.entry_hosts.membership import (
-    HEARTBEAT_SECONDS,
-    HostAddress,
-    Membership,
-)
+from kingcuppulley.entry_hosts.membership import HostAddress, Membership
 from kingcuppulley.entry_hosts.messages import (
     AnnouncementSeen,
     Body,
@@ -54,6 +50,9 @@
 EXCEPTIONS_PER_SECOND = 1000
 EXCEPTION_SECONDS = 0.1
 TRANSFER_SECONDS = 0.5
+EXPIRY_SECONDS = 0.5
+DIFFERENCE_SECONDS = 1.0
+START_SECONDS = 3.0
 RECORDS_PER_UPDATE = 64
 FLOWS_PER_MESSAGE = 8192
 
@@ -65,6 +64,16 @@
         """Take one answer."""
 
 
+class DirectoryDifference:
+    """Hold a difference between two hosts' records and when it is acted on."""
+
+    __slots__ = ("difference", "deadline")
+
+    def __init__(self, difference: int, deadline: float) -> None:
+        self.difference = difference
+        self.deadline = deadline
+
+
 class EntryHost:
     """Wire the decisions of one entry host and pass each message to its core."""
 
@@ -72,7 +81,6 @@
         self,
         name: str,
         hosts: Iterable[HostAddress],
-        incarnation: int,
         sender: Sender[Body],
         router: PacketRouter,
         metrics: Metrics,
@@ -84,7 +92,7 @@
         self._router = router
         self._metrics = metrics
         self._hosts = list(hosts)
-        self._membership = Membership(name, self._hosts, incarnation, generator)
+        self._membership = Membership(name, self._hosts, generator)
         self._zone = self._membership.zone_of(name)
         self._zones = sorted({host.zone for host in self._hosts})
         self._directory = Directory()
@@ -96,7 +104,12 @@
         self._configuration = Configuration({}, {}, {}, frozenset(), [])
         self._live: list[str] = []
         self._owners: list[str] = []
-        self._digests: dict[str, int] = {}
+        self._difference_since: dict[str, DirectoryDifference] = {}
+        self._steward_cache: dict[tuple[str, str], str | None] = {}
+        self._expiry_deadline = now
+        self._start_deadline = now + START_SECONDS
+        self._is_leaving = False
+        self._has_records = False
         self._heartbeat_deadline = now
         self._exception_deadline = now
         self._transfer_deadline = now
@@ -161,9 +174,12 @@
 
     def steward_of(self, service: str, zone: str, now: float) -> str | None:
         """Return the host that grants a service's slots in a zone, or None."""
-        hosts = self._membership.owners_of_zone(zone, now)
-        ranked = rank_names(f"{service}@{zone}", hosts)
-        return ranked[0] if ranked else None
+        place = (service, zone)
+        if place not in self._steward_cache:
+            hosts = self._membership.owners_of_zone(zone, now)
+            ranked = rank_names(f"{service}@{zone}", hosts)
+            self._steward_cache[place] = ranked[0] if ranked else None
+        return self._steward_cache[place]
 
     def homes_of(self, key: str, zone: str, now: float) -> list[str]:
         """Return the hosts that keep the claim of a key, its home first."""
@@ -203,6 +219,7 @@
 
     def leave(self, now: float) -> None:
         """Hand over what this host owns and tell the others that it leaves."""
+        self._is_leaving = True
         self._membership.leave()
         self._heartbeat_deadline = now
         self._refresh_view(now, force=True)
@@ -216,11 +233,12 @@
     def tick(self, now: float) -> None:
         """Act on every deadline that has passed."""
         if now >= self._heartbeat_deadline:
-            self._heartbeat_deadline = now + HEARTBEAT_SECONDS
-            chosen, heartbeat = self._membership.tick(now)
-            beat = Heartbeat(heartbeat.reports, self._directory.digest)
+            self._heartbeat_deadline = now + self._membership.heartbeat_seconds
+            digest = self._directory.digest
+            chosen, heartbeat = self._membership.tick(now, digest)
             for host in chosen:
-                self._sender.send(host, beat)
+                self._sender.send(host, heartbeat)
+        self._join_when_ready(now)
         self._refresh_view(now, force=False)
         self._expire_targets(now)
         self._router.tick(now)
@@ -239,11 +257,13 @@
         match body:
             case Heartbeat():
                 self._membership.receive(body, now)
-                if body.targets_digest != self._directory.digest:
+                if not self._membership.has_joined and not self._is_leaving:
                     self._sender.send(host, TargetRequest())
+                self._compare_digest(host, body.targets_digest, now)
             case FlowQuery() | FlowAnswer() | FlowCopies():
                 self._receive_flow(host, body, now)
             case TargetUpdate():
+                self._has_records = True
                 if self._directory.merge(body.records):
                     self._refresh_targets(now)
             case TargetRequest():
@@ -262,6 +282,35 @@
             case _:
                 self._receive_slot(host, body, now)
 
+    def _join_when_ready(self, now: float) -> None:
+        """Begin to own, once others have told which servers and claims there are.
+
+        A host that owned from its first moment on would guess: its view holds nobody
+        to ask, its records no target but those that announce themselves to it, and its
+        register no claim.  If nobody answers, it is the first, or cut off.
+        """
+        if self._membership.has_joined or self._is_leaving:
+            return
+        is_told = self._has_records and not self._untransferred.intersection(self._live)
+        if is_told or now >= self._start_deadline:
+            self._membership.join()
+            self._refresh_view(now, force=True)
+
+    def _compare_digest(self, host: str, digest: int, now: float) -> None:
+        # Records that are on their way make digests differ for a moment.  Asking for
+        # all of them only pays once one difference has stood for a while.
+        if digest == self._directory.digest:
+            self._difference_since.pop(host, None)
+            return
+        difference = digest ^ self._directory.digest
+        known = self._difference_since.get(host)
+        if known is None or known.difference != difference:
+            deadline = now + DIFFERENCE_SECONDS
+            self._difference_since[host] = DirectoryDifference(difference, deadline)
+        elif now >= known.deadline:
+            del self._difference_since[host]
+            self._sender.send(host, TargetRequest())
+
     def _receive_flow(
         self, host: str, body: FlowQuery | FlowAnswer | FlowCopies, now: float
     ) -> None:
@@ -339,6 +388,7 @@
             return
         self._live = live
         self._owners = owners
+        self._steward_cache.clear()
         self._metrics.gauges["live_entry_hosts"] = len(live)
         self._router.update_owners(owners, now)
         self._refresh_stewards(now)
@@ -375,6 +425,9 @@
             steward.update_targets(own, now)
 
     def _expire_targets(self, now: float) -> None:
+        if now < self._expiry_deadline:
+            return
+        self._expiry_deadline = now + EXPIRY_SECONDS
         watched = []
         for record in self._directory.records:
             steward = self.steward_of(record.service, record.zone, now)
@@ -429,7 +482,8 @@
                 self._send_records(host, records)
 
     def _send_records(self, host: str, records: list[TargetRecord]) -> None:
-        for start in range(0, len(records), RECORDS_PER_UPDATE):
+        # An empty answer is sent as well: it tells that there is nothing to know.
+        for start in range(0, max(1, len(records)), RECORDS_PER_UPDATE):
             piece = records[start : start + RECORDS_PER_UPDATE]
             self._sender.send(host, TargetUpdate(piece))
 
--- a/src/kingcuppulley/entry_hosts/membership.py
+++ b/src/kingcuppulley/entry_hosts/membership.py
@@ -3,15 +3,23 @@
 from __future__ import annotations
 
 import random
+from array import array
 from collections.abc import Iterable
 
 import msgspec
 
-from kingcuppulley.entry_hosts.messages import Heartbeat, HostReport
+from kingcuppulley.entry_hosts.messages import Heartbeat
+from kingcuppulley.errors import KingcuppulleyError
+from kingcuppulley.internal.rendezvous import hash_name
 
-HEARTBEAT_SECONDS = 0.25
-SUSPICION_SECONDS = 1.5
 FAN_OUT = 3
+BEATS_PER_SECOND = 20
+SMALL_DEPLOYMENT_HOSTS = 16
+SMALL_HEARTBEAT_SECONDS = 0.25
+SMALL_SUSPICION_SECONDS = 1.5
+LARGE_HEARTBEAT_SECONDS = 0.5
+LARGE_SUSPICION_SECONDS = 4.0
+_HIGHEST_AGE = 65_535
 
 
 class HostAddress(msgspec.Struct, frozen=True, kw_only=True):
@@ -25,15 +33,24 @@
     packet_port: int
 
 
+class HostNameClashError(KingcuppulleyError):
+    """Report two entry hosts whose names have the same short number."""
+
+    def __init__(self, first: str, second: str) -> None:
+        super().__init__(
+            f"{first} and {second} have the same short number in heartbeats; "
+            "rename one of them"
+        )
+
+
 class HostStatus:
     """Hold what this host knows of another one."""
 
-    __slots__ = ("incarnation", "beat", "leaving", "alive_until_deadline")
+    __slots__ = ("beat", "is_aside", "alive_until_deadline")
 
     def __init__(self) -> None:
-        self.incarnation = 0
         self.beat = 0
-        self.leaving = False
+        self.is_aside = False
         self.alive_until_deadline = 0.0
 
 
@@ -44,40 +61,60 @@
     A count that stands still past the suspicion time marks its host as dead.  Counts
     travel through any third host, so two hosts that cannot reach each other, but
     share a peer, still see each other live: a partial cut does not split the owners.
+
+    A host that has just started knows nothing yet, and one that leaves soon knows
+    nothing any more.  Both stand aside: they live, answer and forward, but own nothing.
+
+    A count is Unix time in twentieths of a second on the host's own clock.  It grows
+    over restarts, so it is the incarnation as well.  A heartbeat carries the newest
+    count once and for each host two bytes of name and two of age, because at the
+    size to design for the counts of all hosts take most of what control may send.
     """
 
     def __init__(
         self,
         name: str,
         hosts: Iterable[HostAddress],
-        incarnation: int,
         generator: random.Random,
     ) -> None:
         self._name = name
         self._addresses = {host.name: host for host in hosts}
         self._statuses = {host: HostStatus() for host in self._addresses}
+        self._names_by_number: dict[int, str] = {}
+        for host in self._addresses:
+            number = _number_of(host)
+            if number in self._names_by_number:
+                raise HostNameClashError(self._names_by_number[number], host)
+            self._names_by_number[number] = host
         self._own = self._statuses[name]
-        self._own.incarnation = incarnation
+        self._own.is_aside = True
         self._generator = generator
+        is_small = len(self._addresses) <= SMALL_DEPLOYMENT_HOSTS
+        self._heartbeat_seconds = (
+            SMALL_HEARTBEAT_SECONDS if is_small else LARGE_HEARTBEAT_SECONDS
+        )
+        self._suspicion_seconds = (
+            SMALL_SUSPICION_SECONDS if is_small else LARGE_SUSPICION_SECONDS
+        )
 
     @property
-    def incarnation(self) -> int:
-        """Return the number of this start of the host."""
-        return self._own.incarnation
+    def heartbeat_seconds(self) -> float:
+        """Return the seconds between two heartbeats of one host."""
+        return self._heartbeat_seconds
 
     @property
     def generator(self) -> random.Random:
         """Return the seeded generator of this host's random choices."""
         return self._generator
 
-    def address(self, name: str) -> HostAddress | None:
-        """Return where a host is reached, or None if it is not configured."""
-        return self._addresses.get(name)
-
     def zone_of(self, name: str) -> str:
         """Return the availability zone of a configured host."""
         return self._addresses[name].zone
 
+    def configured_in(self, zone: str) -> int:
+        """Return how many hosts a zone has, live or not."""
+        return sum(1 for host in self._addresses.values() if host.zone == zone)
+
     def live_hosts(self, now: float) -> list[str]:
         """Return the hosts that are heard of, in the order of their names."""
         return sorted(name for name in self._statuses if self._is_live(name, now))
@@ -87,60 +124,92 @@
         return [
             name
             for name in self.live_hosts(now)
-            if not self._statuses[name].leaving and self.zone_of(name) not in zones_out
+            if not self._statuses[name].is_aside and self.zone_of(name) not in zones_out
         ]
 
     def owners_of_zone(self, zone: str, now: float) -> list[str]:
-        """Return the live hosts of one zone that are not leaving."""
+        """Return the live hosts of one zone that do not stand aside."""
         return [
             name
             for name in self.live_hosts(now)
-            if not self._statuses[name].leaving and self.zone_of(name) == zone
+            if not self._statuses[name].is_aside and self.zone_of(name) == zone
         ]
 
+    @property
+    def has_joined(self) -> bool:
+        """Return whether this host may own flows, keys and slots."""
+        return not self._own.is_aside
+
+    def join(self) -> None:
+        """Tell the others, from the next heartbeat on, that this host may own."""
+        self._own.is_aside = False
+
     def leave(self) -> None:
         """Tell the others, from the next heartbeat on, that this host leaves."""
-        self._own.leaving = True
+        self._own.is_aside = True
 
-    def tick(self, now: float) -> tuple[list[str], Heartbeat]:
+    def tick(self, now: float, targets_digest: int) -> tuple[list[str], Heartbeat]:
         """Return the hosts to send the next heartbeat to, and the heartbeat."""
-        self._own.beat += 1
+        self._own.beat = max(self._own.beat + 1, int(now * BEATS_PER_SECOND))
         # A host that is silent gets heartbeats too: it may have come back, and two
         # zones that were cut off from each other find each other only this way.
         others = [name for name in self._addresses if name != self._name]
         chosen = self._generator.sample(others, min(FAN_OUT, len(others)))
-        return chosen, Heartbeat(reports=self._reports(now))
+        return chosen, self._heartbeat(now, targets_digest)
 
     def receive(self, heartbeat: Heartbeat, now: float) -> None:
         """Take another host's heartbeat."""
-        for report in heartbeat.reports:
-            status = self._statuses.get(report.name)
-            if status is None:
-                continue
-            if report.name == self._name:
-                self._outlive(report)
+        numbers = _unpack(heartbeat.hosts)
+        ages = _unpack(heartbeat.ages)
+        aside = set(_unpack(heartbeat.aside))
+        for number, age in zip(numbers, ages, strict=True):
+            name = self._names_by_number.get(number)
+            if name is not None:
+                beat = heartbeat.newest - age
+                self._take_beat(name, beat, number in aside, now)
+
+    def _take_beat(self, name: str, beat: int, is_aside: bool, now: float) -> None:
+        status = self._statuses[name]
+        if name == self._name:
+            # Others still pass on counts from before a restart, if the clock was set.
+            status.beat = max(status.beat, beat)
+        elif beat > status.beat:
+            status.beat = beat
+            status.is_aside = is_aside
+            status.alive_until_deadline = now + self._suspicion_seconds
+
+    def _heartbeat(self, now: float, targets_digest: int) -> Heartbeat:
+        live = [name for name in self._statuses if self._is_live(name, now)]
+        newest = max(self._statuses[name].beat for name in live)
+        numbers = array("H")
+        ages = array("H")
+        aside = array("H")
+        for name in live:
+            status = self._statuses[name]
+            age = newest - status.beat
+            if age > _HIGHEST_AGE:
                 continue
-            newer = (report.incarnation, report.beat) > (
-                status.incarnation,
-                status.beat,
-            )
-            if newer:
-                status.incarnation = report.incarnation
-                status.beat = report.beat
-                status.leaving = report.leaving
-                status.alive_until_deadline = now + SUSPICION_SECONDS
-
-    def _reports(self, now: float) -> list[HostReport]:
-        return [
-            HostReport(name, status.incarnation, status.beat, status.leaving)
-            for name, status in self._statuses.items()
-            if name == self._name or self._is_live(name, now)
-        ]
-
-    def _outlive(self, report: HostReport) -> None:
-        # Others still pass on the counts of an earlier start of this host.
-        if report.incarnation > self._own.incarnation:
-            self._own.incarnation = report.incarnation + 1
+            numbers.append(_number_of(name))
+            ages.append(age)
+            if status.is_aside:
+                aside.append(_number_of(name))
+        return Heartbeat(
+            newest,
+            numbers.tobytes(),
+            ages.tobytes(),
+            aside.tobytes(),
+            targets_digest,
+        )
 
     def _is_live(self, name: str, now: float) -> bool:
         return name == self._name or self._statuses[name].alive_until_deadline > now
+
+
+def _number_of(name: str) -> int:
+    return hash_name(name) & 0xFFFF
+
+
+def _unpack(data: bytes) -> array[int]:
+    numbers = array("H")
+    numbers.frombytes(data)
+    return numbers
--- a/src/kingcuppulley/entry_hosts/messages.py
+++ b/src/kingcuppulley/entry_hosts/messages.py
@@ -46,20 +46,18 @@
     UNAVAILABLE = "unavailable"
 
 
-class HostReport(msgspec.Struct, frozen=True, array_like=True):
-    """Say how far the heartbeat of one entry host has come."""
-
-    name: str
-    incarnation: int
-    beat: int
-    leaving: bool
-
-
 class Heartbeat(msgspec.Struct, frozen=True, tag="hb"):
-    """Carry what the sender knows of every entry host."""
+    """Carry what the sender knows of every live entry host.
+
+    `hosts`, `ages` and `aside` are packed 16-bit numbers: the short number of each
+    live host, how far its count is behind the newest, and which hosts stand aside.
+    """
 
-    reports: list[HostReport]
-    targets_digest: int = 0
+    newest: int
+    hosts: bytes
+    ages: bytes
+    aside: bytes
+    targets_digest: int
 
 
 class TargetUpdate(msgspec.Struct, frozen=True, tag="tu"):
--- a/src/kingcuppulley/fabric/router.py
+++ b/src/kingcuppulley/fabric/router.py
@@ -183,7 +183,10 @@
             return
         if hops < MAXIMUM_HOPS:
             ranked = self._owners.ranked(header.flow)
-            if ranked and ranked[0] != self._name:
+            if not ranked:
+                self._counts["packets_without_owner"] += 1
+                return
+            if ranked[0] != self._name:
                 self._counts["packets_to_owner"] += 1
                 self._port.send_to_owner(packet, ranked[0], hops + 1)
                 return
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -147,6 +147,29 @@
     assert claims.verdict(claims.ask("entry-1", key)) is ClaimVerdict.RUNNING
 
 
+def test_hosts_of_one_zone_that_are_cut_from_each_other_do_not_both_grant(claims):
+    """Each takes itself for the home; the witness in another zone tells them apart."""
+    cluster = claims.cluster
+    cluster.network.cut(["entry-4"], ["entry-5"])
+    for name in cluster.names:
+        membership = cluster.hosts[name].membership
+        if name in ("entry-4", "entry-5"):
+            other = "entry-5" if name == "entry-4" else "entry-4"
+            membership._statuses[other].alive_until_deadline = 0.0
+    key = issued(cluster, "zone-b")
+    granted = [claims.ask(name, key) for name in ("entry-4", "entry-5")]
+    verdicts = [claims.verdict(claim) for claim in granted]
+    assert verdicts.count(ClaimVerdict.GRANTED) == 1
+
+
+def test_a_host_that_is_cut_from_all_others_grants_nothing(claims):
+    cluster = claims.cluster
+    cluster.network.cut(["entry-4"], set(cluster.names) - {"entry-4"})
+    cluster.run(3.0)
+    claim = claims.ask("entry-4", issued(cluster, "zone-b"))
+    assert claims.verdict(claim) is ClaimVerdict.UNAVAILABLE
+
+
 def test_a_home_that_cannot_reach_its_copies_grants_nothing(claims):
     cluster = claims.cluster
     key = issued(cluster)
--- a/tests/entry_cluster.py
+++ b/tests/entry_cluster.py
@@ -78,7 +78,6 @@
         host = EntryHost(
             name,
             self.addresses,
-            int(now * 1000) + self._starts,
             self.network.sender(name),
             router,
             metrics,
--- a/tests/quality/test_entry_state_machine.py
+++ b/tests/quality/test_entry_state_machine.py
@@ -37,6 +37,10 @@
         name = self.alive(host)
         if name and len(self.cluster.hosts) > 2:
             self.cluster.kill(name)
+            self.forget(name)
+
+    def forget(self, name):
+        """Drop what died with a process."""
 
     @rule(host=hosts)
     def start(self, host):
@@ -65,6 +69,12 @@
         self.requests = Requests(self.cluster)
         warm_up(self.requests)
 
+    def forget(self, name):
+        # The connections of a killed gateway close with it, which cancels its work.
+        users = self.requests.users
+        for lease in [lease for lease, (n, _) in users.items() if n == name]:
+            del users[lease]
+
     @rule(host=hosts, count=st.integers(1, 4), wait=st.sampled_from([0.0, 1.0]))
     def ask(self, host, count, wait):
         name = self.alive(host)
