--- a/src/kingcuppulley/experiments/processes.py
+++ b/src/kingcuppulley/experiments/processes.py
@@ -60,6 +60,8 @@
     service_seconds: float = 0.05
     cold_seconds: float = 1.5
     falls_cold_after: float = 0.0
+    slots: int = 2
+    cold_slots: int = 1
 
     @property
     def identity(self) -> str:
@@ -113,6 +115,10 @@
         """Return where an entry host takes packets from the fabric."""
         return (self.entry_host(name), FABRIC_PORT)
 
+    def target_address(self, name: str) -> str:
+        """Return where a backend server takes requests."""
+        return f"{self._block}.{100 + int(name.rpartition('-')[2])}:9080"
+
     def process_id(self, name: str) -> int:
         """Return the process id of a part."""
         return self._processes[name].pid
@@ -177,6 +183,8 @@
             service_seconds=service.service_seconds,
             cold_seconds=service.cold_seconds,
             falls_cold_after=service.falls_cold_after,
+            slots=service.slots,
+            cold_slots=service.cold_slots,
             seed=number,
         )
         file = self._folder / f"{name}.json"
@@ -187,7 +195,7 @@
         self._start(name, [module, str(file), str(account)])
         return name
 
-    def accept_service(self, service: ServicePlan, slots: int = 2) -> Any:
+    def accept_service(self, service: ServicePlan, slots: int | None = None) -> Any:
         """Accept a service's template and client account as an operator."""
         template = {
             "name": service.name,
@@ -205,6 +213,7 @@
                     "tier": service.tier,
                     "zones": "${zones}",
                     "slots": "${slots}",
+                    "cold_slots": service.cold_slots,
                     "cold_seconds": math.ceil(service.cold_seconds),
                 }
             ],
@@ -216,7 +225,7 @@
             "parameters": {
                 "address": service.address,
                 "zones": list(self._plan.zones),
-                "slots": slots,
+                "slots": slots or service.slots,
             },
         }
         client = self.client()
--- a/src/kingcuppulley/fabric/udp_task.py
+++ b/src/kingcuppulley/fabric/udp_task.py
@@ -16,12 +16,18 @@
 
 
 class PacketSocket(DatagramProtocol):
-    """Own one UDP socket."""
+    """Own one UDP socket.
 
-    def write(self, data: bytes, address: tuple[str, int]) -> None:
-        """Send one datagram."""
+    Packets leave through the socket itself.  The transport's `write` parses the
+    receiver's address anew for each datagram, which alone costs as much as deciding
+    where the packet goes; the addresses here come from checked settings and records.
+    """
+
+    def startProtocol(self) -> None:  # noqa: N802
+        """Take hold of the socket that the transport has opened."""
         transport: Any = self.transport
-        transport.write(data, address)
+        self.write: Callable[[bytes, tuple[str, int]], object]
+        self.write = transport.getHandle().sendto
 
 
 class FabricSocket(PacketSocket):
