--- a/src/kingcuppulley/entry_hosts/membership.py
+++ b/src/kingcuppulley/entry_hosts/membership.py
@@ -12,13 +12,14 @@
 from kingcuppulley.errors import KingcuppulleyError
 from kingcuppulley.internal.rendezvous import hash_name
 
-FAN_OUT = 3
+SMALL_FAN_OUT = 3
+LARGE_FAN_OUT = 2
 BEATS_PER_SECOND = 20
 SMALL_DEPLOYMENT_HOSTS = 16
 SMALL_HEARTBEAT_SECONDS = 0.25
 SMALL_SUSPICION_SECONDS = 1.5
 LARGE_HEARTBEAT_SECONDS = 0.5
-LARGE_SUSPICION_SECONDS = 4.0
+LARGE_SUSPICION_SECONDS = 5.0
 _HIGHEST_AGE = 65_535
 
 
@@ -90,6 +91,7 @@
         self._own.is_aside = True
         self._generator = generator
         is_small = len(self._addresses) <= SMALL_DEPLOYMENT_HOSTS
+        self._fan_out = SMALL_FAN_OUT if is_small else LARGE_FAN_OUT
         self._heartbeat_seconds = (
             SMALL_HEARTBEAT_SECONDS if is_small else LARGE_HEARTBEAT_SECONDS
         )
@@ -154,7 +156,7 @@
         # A host that is silent gets heartbeats too: it may have come back, and two
         # zones that were cut off from each other find each other only this way.
         others = [name for name in self._addresses if name != self._name]
-        chosen = self._generator.sample(others, min(FAN_OUT, len(others)))
+        chosen = self._generator.sample(others, min(self._fan_out, len(others)))
         return chosen, self._heartbeat(now, targets_digest)
 
     def receive(self, heartbeat: Heartbeat, now: float) -> None:
--- a/src/kingcuppulley/operators/configuration.py
+++ b/src/kingcuppulley/operators/configuration.py
@@ -67,9 +67,10 @@
         elif not document.in_service:
             zones_out.add(document.name)
     services: dict[str, Service] = {}
+    taken: set[tuple[str, int, str]] = set()
     faults: list[str] = []
     for account in sorted(accounts.values(), key=lambda a: a.name):
-        _add_services(account, templates, services, faults)
+        _add_services(account, templates, services, taken, faults)
     return Configuration(templates, accounts, services, frozenset(zones_out), faults)
 
 
@@ -125,6 +126,7 @@
     account: ClientAccount,
     templates: dict[str, Template],
     services: dict[str, Service],
+    taken: set[tuple[str, int, str]],
     faults: list[str],
 ) -> None:
     template = templates.get(account.template)
@@ -136,11 +138,11 @@
     except TemplateFaults as group:
         faults.extend(str(fault) for fault in group.exceptions)
         return
-    taken = {_place(service) for service in services.values()}
     for service in rendered:
         if _place(service) in taken:
             faults.append(f"service {service.identity}: its address is taken")
         else:
+            taken.add(_place(service))
             services[service.identity] = service
 
 
