Do not punish servers for callers whose time ran out while they waited

Cause: at twice the load, requests got a slot just before their deadline, timed out after a few milliseconds, and each such timeout took its server to the cold limit and paused it for half a second. Ruled out: queue length and zone choice (queues were never empty at the stewards).

Change: a timeout counts against a server only if the attempt was slow for it, and a request that has less time left than an attempt usually takes asks for no slot.

--- a/src/kingcuppulley/backend_servers/limits.py
+++ b/src/kingcuppulley/backend_servers/limits.py
@@ -78,6 +78,11 @@
         """Take the end of one request."""
         if outcome is AttemptOutcome.CANCELLED:
             return
+        if outcome is AttemptOutcome.TIMEOUT and not self._is_slow(seconds):
+            # The caller's time ran out, not the server's: the request had waited long
+            # before it got here.  Punishing the server would lose its slots just when
+            # they are needed most.
+            return
         if outcome is not AttemptOutcome.ANSWERED:
             self.became_cold(now)
             self._backoff_until_deadline = now + BACKOFF_SECONDS
--- a/src/kingcuppulley/callers/gateway.py
+++ b/src/kingcuppulley/callers/gateway.py
@@ -23,6 +23,7 @@
     RequestStage,
 )
 from kingcuppulley.callers.retry_budget import RetryBudget
+from kingcuppulley.callers.service_times import ServiceTimes
 from kingcuppulley.entry_hosts.claims import IssuedKey, home_zone
 from kingcuppulley.entry_hosts.host import EntryHost
 from kingcuppulley.entry_hosts.messages import (
@@ -89,6 +90,7 @@
         self.tracer = tracer
         self.metrics = metrics
         self.budget = RetryBudget()
+        self.service_times = ServiceTimes()
         self.is_leaving = False
         self._active: dict[GatewayRequest, None] = {}
         self._serial = 0
@@ -139,6 +141,7 @@
         self._body = b""
         self._key: str | None = None
         self._began_at = gateway.clock()
+        self._attempt_began_at = 0.0
         self._idle_deadline = math.inf
         self._is_finished = False
         self._span: Span = gateway.tracer.begin(
@@ -229,6 +232,7 @@
         self._end_hop("granted")
         self._hop = self._span.child("attempt")
         self._gateway.metrics.count("attempts")
+        self._attempt_began_at = self._gateway.clock()
         self._response = None
         self._held_back = []
         self._held_back_bytes = 0
@@ -304,6 +308,8 @@
     def attempt_head(self, response: IResponse) -> None:
         """Take the status and headers of an answer."""
         self._response = response
+        seconds = self._gateway.clock() - self._attempt_began_at
+        self._gateway.service_times.record(self._service.identity, seconds)
         self._idle_deadline = (
             self._gateway.clock() + self._gateway.settings.idle_seconds
         )
@@ -375,11 +381,14 @@
         self._body = request.content.read() if request.content else b""
         digest = hashlib.sha256(request.method + b" " + request.uri + b"\n")
         digest.update(self._service.identity.encode() + b"\n" + self._body)
+        timeout_seconds = self._timeout_seconds()
+        times = self._gateway.service_times
         facts = RequestFacts(
             method=method,
             key=self._key,
             fingerprint=digest.hexdigest(),
-            deadline=self._began_at + self._timeout_seconds(),
+            deadline=self._began_at + timeout_seconds,
+            expected_seconds=times.expected(self._service.identity, timeout_seconds),
         )
         self._facts_are_repeatable = facts.is_repeatable
         self._deadline = facts.deadline
--- a/src/kingcuppulley/callers/request.py
+++ b/src/kingcuppulley/callers/request.py
@@ -35,12 +35,17 @@
 
 
 class RequestFacts(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe a request as its caller sent it."""
+    """Describe a request as its caller sent it.
+
+    `expected_seconds` is how long an attempt usually takes; one that is begun with
+    less time left only takes a slot from another request.
+    """
 
     method: str
     key: str | None
     fingerprint: str
     deadline: float
+    expected_seconds: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
@@ -248,7 +253,8 @@
             self._refuse(refusals.DEADLINE_AFTER_SENDING)
 
     def _ask_slot(self, now: float) -> None:
-        if now >= self._facts.deadline:
+        latest = self._facts.deadline - self._facts.expected_seconds
+        if now >= latest:
             self._refuse(self._deadline_refusal())
             return
         if not self._untried:
@@ -256,7 +262,7 @@
             return
         self._stage = RequestStage.WAITING
         zone = self._untried.pop(0)
-        wait = min(QUEUE_SECONDS, self._facts.deadline - now)
+        wait = min(QUEUE_SECONDS, latest - now)
         # The steward ends the wait; this deadline is for an answer that never comes.
         self._stage_deadline = now + wait + QUEUE_SECONDS
         self._port.ask_slot(zone, wait, self._avoid)
--- a/tests/cover/test_requests.py
+++ b/tests/cover/test_requests.py
@@ -89,6 +89,18 @@
     assert port.of("release_slot") == [(AttemptOutcome.TIMEOUT,)]
 
 
+def test_a_request_is_refused_before_it_takes_a_slot_that_it_cannot_use():
+    port = Port()
+    facts = RequestFacts(
+        method="POST", key=None, fingerprint="f", deadline=1.0, expected_seconds=0.3
+    )
+    core = RequestCore(facts, ["zone-a", "zone-b"], port, RetryBudget())
+    core.start(0.0)
+    assert port.of("ask_slot")[0][1] == 0.7
+    core.slot_refused(RefusalReason.BUSY, 0.75)
+    assert port.of("refuse") == [(refusals.DEADLINE_BEFORE_SENDING,)]
+
+
 def test_every_zone_is_asked_before_a_request_is_refused_as_busy():
     core, port = begun("GET")
     core.slot_refused(RefusalReason.BUSY, 0.1)
--- a/tests/cover/test_slot_limits.py
+++ b/tests/cover/test_slot_limits.py
@@ -197,6 +197,16 @@
     assert limit.current(TargetState.COLD, 5.2) == 1
 
 
+def test_a_caller_whose_time_ran_out_early_does_not_lower_the_limit():
+    """Under overload requests reach a server with little time left."""
+    limit = SlotLimit(ORDER_DESK, 2, now=0.0)
+    limit.record(AttemptOutcome.ANSWERED, 0.1, 1.0)
+    limit.record(AttemptOutcome.TIMEOUT, 0.02, 2.0)
+    assert limit.current(TargetState.WARM, 2.0) == 2
+    limit.record(AttemptOutcome.TIMEOUT, 0.9, 3.0)
+    assert limit.current(TargetState.WARM, 3.0) == 0
+
+
 def test_a_sudden_rise_in_service_time_counts_as_a_fall_into_cold_start():
     limit = SlotLimit(ORDER_DESK, 0, now=0.0)
     for _ in range(10):
