--- a/src/kingcuppulley/experiments/deployment.py
+++ b/src/kingcuppulley/experiments/deployment.py
@@ -133,6 +133,7 @@
     service_during_zone_move: float
     imbalance: float
     zone_out_seconds: float
+    acceptance_to_force_seconds: float
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
@@ -320,6 +321,7 @@
         service_during_zone_move=_share_served(during),
         imbalance=_imbalance(history),
         zone_out_seconds=_zone_out_seconds(history),
+        acceptance_to_force_seconds=_force_seconds(history),
     )
 
 
@@ -365,6 +367,21 @@
     return 0.0
 
 
+def _force_seconds(history: History) -> float:
+    """Return the longest time from an acceptance to the last host's force."""
+    longest = 0.0
+    for change in history.changes:
+        reports = [
+            force
+            for force in history.forces
+            if force.key == change.key and force.version >= change.version > 0
+        ]
+        for host in {force.host for force in reports}:
+            first = min(force.at for force in reports if force.host == host)
+            longest = max(longest, first - change.at)
+    return longest
+
+
 def print_report(report: Report, echo: Callable[[str], object] = print) -> None:
     """Write the measures and verdicts as a table."""
     echo(f"{'measure':34} value")
