--- a/src/kingcuppulley/entry_hosts/host.py
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -47,7 +47,8 @@
 from kingcuppulley.model import Service, Tier
 from kingcuppulley.operators.configuration import Configuration
 
-EXCEPTIONS_PER_SECOND = 1000
+SMALL_EXCEPTIONS_PER_SECOND = 1000
+LARGE_EXCEPTIONS_PER_SECOND = 200
 EXCEPTION_SECONDS = 0.1
 TRANSFER_SECONDS = 0.5
 EXPIRY_SECONDS = 0.5
@@ -464,7 +465,9 @@
         if now < self._exception_deadline:
             return
         self._exception_deadline = now + EXCEPTION_SECONDS
-        limit = int(EXCEPTIONS_PER_SECOND * EXCEPTION_SECONDS)
+        is_small = self._membership.is_small
+        rate = SMALL_EXCEPTIONS_PER_SECOND if is_small else LARGE_EXCEPTIONS_PER_SECOND
+        limit = int(rate * EXCEPTION_SECONDS)
         for host, groups in self._router.replication.take_pending(limit).items():
             self._send_flows(host, groups, as_owner=False)
 
--- a/src/kingcuppulley/entry_hosts/membership.py
+++ b/src/kingcuppulley/entry_hosts/membership.py
@@ -90,7 +90,7 @@
         self._own = self._statuses[name]
         self._own.is_aside = True
         self._generator = generator
-        is_small = len(self._addresses) <= SMALL_DEPLOYMENT_HOSTS
+        self._is_small = is_small = len(self._addresses) <= SMALL_DEPLOYMENT_HOSTS
         self._fan_out = SMALL_FAN_OUT if is_small else LARGE_FAN_OUT
         self._heartbeat_seconds = (
             SMALL_HEARTBEAT_SECONDS if is_small else LARGE_HEARTBEAT_SECONDS
@@ -99,6 +99,11 @@
             SMALL_SUSPICION_SECONDS if is_small else LARGE_SUSPICION_SECONDS
         )
 
+    @property
+    def is_small(self) -> bool:
+        """Return whether the deployment has few entry hosts."""
+        return self._is_small
+
     @property
     def heartbeat_seconds(self) -> float:
         """Return the seconds between two heartbeats of one host."""
--- a/src/kingcuppulley/experiments/scale.py
+++ b/src/kingcuppulley/experiments/scale.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 import tracemalloc
+from array import array
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -24,11 +25,27 @@
 from kingcuppulley.control.registers import Change, ChangeKind, Register
 from kingcuppulley.control.replica import Replica
 from kingcuppulley.entry_hosts.configuration_feed import ConfigurationFeed
-from kingcuppulley.entry_hosts.membership import HostAddress, Membership
-from kingcuppulley.entry_hosts.messages import Envelope, Heartbeat, encode_envelope
+from kingcuppulley.entry_hosts.host import EntryHost
+from kingcuppulley.entry_hosts.membership import (
+    BEATS_PER_SECOND,
+    HostAddress,
+    Membership,
+)
+from kingcuppulley.entry_hosts.messages import (
+    AnnouncementSeen,
+    Envelope,
+    Heartbeat,
+    TargetUpdate,
+    encode_envelope,
+)
 from kingcuppulley.experiments.figures import Figure, Point, Slope, fit
+from kingcuppulley.experiments.relay import NoSender
+from kingcuppulley.experiments.throughput import NullPort
 from kingcuppulley.experiments.virtual_network import MemoryJournal, VirtualNetwork
 from kingcuppulley.fabric.ownership import OwnerTable
+from kingcuppulley.fabric.router import PacketRouter
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.rendezvous import hash_name
 from kingcuppulley.operators.configuration import Configuration, render_configuration
 
 HOST_COUNTS = (24, 48, 96, 170)
@@ -133,11 +150,36 @@
     return slopes, [figure]
 
 
+def measure_entry_host() -> list[Slope]:
+    """Return the processor time of an idle entry host's decisions at full records."""
+    points = []
+    for count in HOST_COUNTS:
+        lone = _LoneHost(count)
+        lone.run(3.0)
+        began = time.process_time()
+        lone.run(COUNTED_SECONDS)
+        points.append(Point(count, (time.process_time() - began) / COUNTED_SECONDS))
+    return [fit("processor time of an entry host's ticks", "core", "host", points)]
+
+
+def measure_messages() -> list[Figure]:
+    """Return the size of the messages that backend servers cause."""
+    (record,) = _target_records(1)
+    size = len(_encode_entry("entry-1", AnnouncementSeen(record)))
+    update = len(_encode_entry("entry-1", TargetUpdate([record])))
+    return [
+        Figure(name="an announcement passed on", value=size, unit="bytes"),
+        Figure(name="a backend server record spread", value=update, unit="bytes"),
+    ]
+
+
 def measure_memory() -> list[Slope]:
     """Return the memory that records and addresses add to a process."""
     targets = [Point(n, _traced(partial(_directory, n))) for n in TARGET_COUNTS]
     addresses = [Point(n, _traced(partial(_configuration, n))) for n in ADDRESS_COUNTS]
+    owners = [Point(n, _traced(partial(_owner_table, n))) for n in HOST_COUNTS]
     return [
+        fit("memory of the owner table", "bytes", "entry host", owners),
         fit("memory of backend server records", "bytes", "backend server", targets),
         fit("memory of registers and services", "bytes", "address", addresses),
     ]
@@ -324,9 +366,57 @@
     return float(size)
 
 
+class _LoneHost:
+    """Run one entry host that hears of many others on a virtual clock."""
+
+    def __init__(self, count: int) -> None:
+        self.now = 1000.0
+        addresses = [_address(n) for n in range(count)]
+        zones = {address.name: address.zone for address in addresses}
+        sender = NoSender()
+        metrics = Metrics()
+        router = PacketRouter("entry-0", NullPort(), metrics, zones, 300.0, self.now)
+        generator = random.Random(1)
+        self._host = EntryHost(
+            "entry-0", addresses, sender, router, metrics, generator, self.now
+        )
+        self._numbers = array("H", (hash_name(name) & 0xFFFF for name in zones))
+        self._ages = array("H", [0] * count).tobytes()
+        configuration = render_configuration(_registers(ADDRESS_COUNTS[-1]))
+        self._host.configure(configuration, self.now)
+        records = _target_records(TARGET_COUNTS[-1])
+        self._host.receive("entry-1", TargetUpdate(records), self.now)
+
+    def run(self, seconds: float) -> None:
+        for step in range(round(seconds / STEP_SECONDS)):
+            self.now += STEP_SECONDS
+            if step % 5 == 0:
+                self._hear()
+            self._host.tick(self.now)
+
+    def _hear(self) -> None:
+        newest = int(self.now * BEATS_PER_SECOND)
+        digest = self._host.directory.digest
+        numbers = self._numbers.tobytes()
+        beat = Heartbeat(newest, numbers, self._ages, b"", digest)
+        self._host.receive("entry-1", beat, self.now)
+
+
+def _owner_table(count: int) -> OwnerTable:
+    names = [f"entry-{n}" for n in range(count)]
+    table = OwnerTable({name: f"zone-{n % 3}" for n, name in enumerate(names)})
+    table.update(names)
+    return table
+
+
 def _directory(count: int) -> Directory:
     directory = Directory()
-    directory.merge(
+    directory.merge(_target_records(count))
+    return directory
+
+
+def _target_records(count: int) -> list[TargetRecord]:
+    return [
         TargetRecord(
             name=f"target-{n}",
             service=f"account-{n % 770}/desk",
@@ -338,8 +428,7 @@
             incarnation=1_796_000_000_000 + n,
         )
         for n in range(count)
-    )
-    return directory
+    ]
 
 
 def _registers(count: int) -> list[Register]:
--- a/src/kingcuppulley/fabric/ownership.py
+++ b/src/kingcuppulley/fabric/ownership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from array import array
 from collections.abc import Iterable, Mapping
 
 from kingcuppulley.internal.rendezvous import hash_name, mix
@@ -23,7 +24,8 @@
     may still live, but own nothing, when its zone was taken out or it is leaving.
 
     The scores of a host are computed once, when it is first seen, so that a change
-    of view costs a merge and not a hash for each pair of bucket and host.
+    of view costs a merge and not a hash for each pair of bucket and host.  They are
+    packed, 32 KB a host: as lists of numbers, those of 168 hosts would take 27 MB.
     """
 
     __slots__ = ("_scores", "_ranks", "_hosts", "_former_owners", "_zones")
@@ -31,7 +33,7 @@
     def __init__(self, zones: Mapping[str, str]) -> None:
         self._zones = zones
         self._former_owners: list[str | None] = [None] * BUCKET_COUNT
-        self._scores: dict[str, list[int]] = {}
+        self._scores: dict[str, array[int]] = {}
         self._ranks: list[list[str]] = [[] for _ in range(BUCKET_COUNT)]
         self._hosts: frozenset[str] = frozenset()
 
@@ -47,7 +49,8 @@
             return False
         for host in wanted - self._scores.keys():
             host_hash = hash_name(host)
-            self._scores[host] = [mix(b, host_hash) for b in range(BUCKET_COUNT)]
+            scores = (mix(bucket, host_hash) for bucket in range(BUCKET_COUNT))
+            self._scores[host] = array("Q", scores)
         removed = self._hosts - wanted
         added = sorted(wanted - self._hosts)
         self._hosts = wanted
--- a/src/kingcuppulley/operators/command_line.py
+++ b/src/kingcuppulley/operators/command_line.py
@@ -112,6 +112,23 @@
         typer.echo(f"{settings_file}: no faults")
 
 
+@application.command()
+def capacity(
+    measurement: Annotated[Path, typer.Argument(help="A report of `make measure`.")],
+) -> None:
+    """Work out the page of capacities from measured slopes."""
+    from kingcuppulley.experiments.capacity import (
+        CapacityPage,
+        Size,
+        load_measurement,
+        render_rows,
+    )
+
+    with _exit_codes():
+        page = CapacityPage(load_measurement(measurement), Size())
+        typer.echo(render_rows(page.rows()))
+
+
 @application.command()
 def status(
     control_address: ControlOption, token: TokenOption, as_json: JsonOption = False
