Bring an entry host's control traffic under its budget at the size to design for

Cause: at 168 hosts and 667 servers a zone, heartbeats (8.6 kB/s) and announcements passed on in full (8.4 kB/s) made 17.3 kB/s against 11. A heartbeat's ages were also relative to the fastest clock, so one clock an hour ahead would have hidden all hosts.

Change: a heartbeat carries one byte of count a host, compared only with that host's own; announcements without news are passed on as names, once a second.

--- a/src/kingcuppulley/backend_servers/directory.py
+++ b/src/kingcuppulley/backend_servers/directory.py
@@ -81,6 +81,28 @@
             return None
         return self._store(newer)
 
+    def is_news(self, record: TargetRecord) -> bool:
+        """Return whether an announcement tells more than that the server lives."""
+        known = self._records.get(record.name)
+        if known is None:
+            return True
+        same = msgspec.structs.replace(
+            record, revision=known.revision, proven_slots=known.proven_slots
+        )
+        return same != known
+
+    def refresh(self, names: Iterable[str], now: float) -> list[str]:
+        """Extend the deadlines of servers that live, and return those marked gone."""
+        returned = []
+        for name in names:
+            record = self._records.get(name)
+            if record is None:
+                continue
+            self._announced_until[name] = now + SILENCE_SECONDS
+            if record.state is TargetState.GONE:
+                returned.append(name)
+        return returned
+
     def expire(self, watched: Iterable[str], now: float) -> list[TargetRecord]:
         """Mark watched backend servers gone that were silent, and return them.
 
--- a/src/kingcuppulley/entry_hosts/host.py
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -14,6 +14,7 @@
 from kingcuppulley.entry_hosts.claims import ClaimRegister
 from kingcuppulley.entry_hosts.membership import HostAddress, Membership
 from kingcuppulley.entry_hosts.messages import (
+    AnnouncementsAlive,
     AnnouncementSeen,
     Body,
     ClaimAnswer,
@@ -52,6 +53,7 @@
 EXCEPTION_SECONDS = 0.1
 TRANSFER_SECONDS = 0.5
 EXPIRY_SECONDS = 0.5
+ALIVE_SECONDS = 1.0
 DIFFERENCE_SECONDS = 1.0
 START_SECONDS = 3.0
 RECORDS_PER_UPDATE = 64
@@ -108,6 +110,8 @@
         self._difference_since: dict[str, DirectoryDifference] = {}
         self._steward_cache: dict[tuple[str, str], str | None] = {}
         self._expiry_deadline = now
+        self._alive_deadline = now
+        self._alive_names: dict[str, list[str]] = {}
         self._start_deadline = now + START_SECONDS
         self._is_leaving = False
         self._has_records = False
@@ -211,13 +215,27 @@
         """Take a backend server's announcement, or pass it to its steward."""
         steward = self.steward_of(record.service, record.zone, now)
         if steward is not None and steward != self._name:
-            self._sender.send(steward, AnnouncementSeen(record))
+            self._pass_on(steward, record)
             return
         news = self._directory.announced(record, now)
         if news is not None:
             self._spread([news])
             self._refresh_targets(now)
 
+    def _pass_on(self, steward: str, record: TargetRecord) -> None:
+        if self._directory.is_news(record):
+            self._sender.send(steward, AnnouncementSeen(record))
+        else:
+            self._alive_names.setdefault(steward, []).append(record.name)
+
+    def _pass_on_alive(self, now: float) -> None:
+        if now < self._alive_deadline:
+            return
+        self._alive_deadline = now + ALIVE_SECONDS
+        for steward, names in self._alive_names.items():
+            self._sender.send(steward, AnnouncementsAlive(names))
+        self._alive_names = {}
+
     def leave(self, now: float) -> None:
         """Hand over what this host owns and tell the others that it leaves."""
         self._is_leaving = True
@@ -241,6 +259,7 @@
                 self._sender.send(host, heartbeat)
         self._join_when_ready(now)
         self._refresh_view(now, force=False)
+        self._pass_on_alive(now)
         self._expire_targets(now)
         self._router.tick(now)
         self._router.replication.step()
@@ -271,6 +290,9 @@
                 self._send_records(host, self._directory.records)
             case AnnouncementSeen():
                 self.announced(body.record, now)
+            case AnnouncementsAlive():
+                for name in self._directory.refresh(body.names, now):
+                    self.mark_target(name, TargetState.COLD, now)
             case ClaimRequest() | ClaimAnswer() | ClaimCopy() | ClaimCopied():
                 self._receive_claim(host, body, now)
             case ClaimResult():
--- a/src/kingcuppulley/entry_hosts/membership.py
+++ b/src/kingcuppulley/entry_hosts/membership.py
@@ -14,13 +14,15 @@
 
 SMALL_FAN_OUT = 3
 LARGE_FAN_OUT = 2
-BEATS_PER_SECOND = 20
+BEATS_PER_SECOND = 4
 SMALL_DEPLOYMENT_HOSTS = 16
 SMALL_HEARTBEAT_SECONDS = 0.25
 SMALL_SUSPICION_SECONDS = 1.5
 LARGE_HEARTBEAT_SECONDS = 0.5
 LARGE_SUSPICION_SECONDS = 5.0
-_HIGHEST_AGE = 65_535
+QUARANTINE_SECONDS = 15.0
+_BEAT_MASK = 0xFF
+_HALF_OF_BEATS = 0x80
 
 
 class HostAddress(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,10 +68,12 @@
     A host that has just started knows nothing yet, and one that leaves soon knows
     nothing any more.  Both stand aside: they live, answer and forward, but own nothing.
 
-    A count is Unix time in twentieths of a second on the host's own clock.  It grows
-    over restarts, so it is the incarnation as well.  A heartbeat carries the newest
-    count once and for each host two bytes of name and two of age, because at the
-    size to design for the counts of all hosts take most of what control may send.
+    A count begins at Unix time in quarters of a second, so that it grows over restarts
+    and is the incarnation as well.  At the size to design for, the counts of all hosts
+    take most of what control may send, so a heartbeat carries two bytes of name and
+    the lowest byte of the count for each host.  Counts of two hosts are never compared,
+    so their clocks need not agree.  A byte tells newer from older within 32 seconds; a
+    host that was dead for longer than the quarantine is believed whatever it counts.
     """
 
     def __init__(
@@ -166,46 +170,44 @@
 
     def receive(self, heartbeat: Heartbeat, now: float) -> None:
         """Take another host's heartbeat."""
-        numbers = _unpack(heartbeat.hosts)
-        ages = _unpack(heartbeat.ages)
         aside = set(_unpack(heartbeat.aside))
-        for number, age in zip(numbers, ages, strict=True):
+        for number, beat in zip(
+            _unpack(heartbeat.hosts), heartbeat.beats, strict=False
+        ):
             name = self._names_by_number.get(number)
-            if name is not None:
-                beat = heartbeat.newest - age
+            if name == self._name:
+                self._outrun(beat)
+            elif name is not None:
                 self._take_beat(name, beat, number in aside, now)
 
+    def _outrun(self, beat: int) -> None:
+        # Others still hold a count from before a restart, if the clock was set back.
+        ahead = (beat - self._own.beat) & _BEAT_MASK
+        if ahead < _HALF_OF_BEATS:
+            self._own.beat += ahead
+
     def _take_beat(self, name: str, beat: int, is_aside: bool, now: float) -> None:
         status = self._statuses[name]
-        if name == self._name:
-            # Others still pass on counts from before a restart, if the clock was set.
-            status.beat = max(status.beat, beat)
-        elif beat > status.beat:
+        ahead = (beat - status.beat) & _BEAT_MASK
+        was_long_dead = now > status.alive_until_deadline + QUARANTINE_SECONDS
+        if 0 < ahead < _HALF_OF_BEATS or was_long_dead:
             status.beat = beat
             status.is_aside = is_aside
             status.alive_until_deadline = now + self._suspicion_seconds
 
     def _heartbeat(self, now: float, targets_digest: int) -> Heartbeat:
-        live = [name for name in self._statuses if self._is_live(name, now)]
-        newest = max(self._statuses[name].beat for name in live)
         numbers = array("H")
-        ages = array("H")
+        beats = bytearray()
         aside = array("H")
-        for name in live:
-            status = self._statuses[name]
-            age = newest - status.beat
-            if age > _HIGHEST_AGE:
+        for name, status in self._statuses.items():
+            if not self._is_live(name, now):
                 continue
             numbers.append(_number_of(name))
-            ages.append(age)
+            beats.append(status.beat & _BEAT_MASK)
             if status.is_aside:
                 aside.append(_number_of(name))
         return Heartbeat(
-            newest,
-            numbers.tobytes(),
-            ages.tobytes(),
-            aside.tobytes(),
-            targets_digest,
+            numbers.tobytes(), bytes(beats), aside.tobytes(), targets_digest
         )
 
     def _is_live(self, name: str, now: float) -> bool:
@@ -218,5 +220,5 @@
 
 def _unpack(data: bytes) -> array[int]:
     numbers = array("H")
-    numbers.frombytes(data)
+    numbers.frombytes(data[: len(data) // 2 * 2])
     return numbers
--- a/src/kingcuppulley/entry_hosts/messages.py
+++ b/src/kingcuppulley/entry_hosts/messages.py
@@ -49,13 +49,12 @@
 class Heartbeat(msgspec.Struct, frozen=True, tag="hb"):
     """Carry what the sender knows of every live entry host.
 
-    `hosts`, `ages` and `aside` are packed 16-bit numbers: the short number of each
-    live host, how far its count is behind the newest, and which hosts stand aside.
+    `hosts` and `aside` are packed 16-bit numbers: the short number of each live host,
+    and of those that stand aside.  `beats` holds the lowest byte of each count.
     """
 
-    newest: int
     hosts: bytes
-    ages: bytes
+    beats: bytes
     aside: bytes
     targets_digest: int
 
@@ -76,6 +75,12 @@
     record: TargetRecord
 
 
+class AnnouncementsAlive(msgspec.Struct, frozen=True, tag="aa"):
+    """Tell a steward which backend servers announced themselves with nothing new."""
+
+    names: list[str]
+
+
 class FlowQuery(msgspec.Struct, frozen=True, tag="fq"):
     """Ask which target a flow has."""
 
@@ -238,6 +243,7 @@
     | TargetUpdate
     | TargetRequest
     | AnnouncementSeen
+    | AnnouncementsAlive
     | FlowQuery
     | FlowAnswer
     | FlowCopies
--- a/src/kingcuppulley/experiments/scale.py
+++ b/src/kingcuppulley/experiments/scale.py
@@ -32,7 +32,7 @@
     Membership,
 )
 from kingcuppulley.entry_hosts.messages import (
-    AnnouncementSeen,
+    AnnouncementsAlive,
     Envelope,
     Heartbeat,
     TargetUpdate,
@@ -165,7 +165,8 @@
 def measure_messages() -> list[Figure]:
     """Return the size of the messages that backend servers cause."""
     (record,) = _target_records(1)
-    size = len(_encode_entry("entry-1", AnnouncementSeen(record)))
+    alive = AnnouncementsAlive([record.name])
+    size = len(_encode_entry("entry-1", alive))
     update = len(_encode_entry("entry-1", TargetUpdate([record])))
     return [
         Figure(name="an announcement passed on", value=size, unit="bytes"),
@@ -381,7 +382,7 @@
             "entry-0", addresses, sender, router, metrics, generator, self.now
         )
         self._numbers = array("H", (hash_name(name) & 0xFFFF for name in zones))
-        self._ages = array("H", [0] * count).tobytes()
+        self._count = count
         configuration = render_configuration(_registers(ADDRESS_COUNTS[-1]))
         self._host.configure(configuration, self.now)
         records = _target_records(TARGET_COUNTS[-1])
@@ -395,10 +396,10 @@
             self._host.tick(self.now)
 
     def _hear(self) -> None:
-        newest = int(self.now * BEATS_PER_SECOND)
+        beats = bytes([int(self.now * BEATS_PER_SECOND) & 0xFF]) * self._count
         digest = self._host.directory.digest
         numbers = self._numbers.tobytes()
-        beat = Heartbeat(newest, numbers, self._ages, b"", digest)
+        beat = Heartbeat(numbers, beats, b"", digest)
         self._host.receive("entry-1", beat, self.now)
 
 
