--- a/src/kingcuppulley/callers/listeners.py
+++ b/src/kingcuppulley/callers/listeners.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.web.http import HTTPChannel, Request
 from twisted.web.resource import Resource
 from twisted.web.server import Site
@@ -13,6 +14,8 @@
 from kingcuppulley.internal.reactor import ListeningReactor
 from kingcuppulley.model import Service, Tier
 
+LISTEN_BACKLOG = 1024
+
 
 class LimitedRequest(Request):
     """Take one request and drop a body that is above the limit."""
@@ -50,13 +53,20 @@
 
 
 class ServiceListeners:
-    """Open and close ports as services come into force and leave it."""
+    """Open and close ports as services come into force and leave it.
+
+    With `listen_host` set, every service listens there, on its own port.  With none,
+    each listens on its own address, which every entry host then has to hold.  A port
+    that cannot be opened is counted and tried again: one service that clashes with
+    another, or with a program on the host, must not stop the rest.
+    """
 
     def __init__(self, gateway: Gateway, reactor: ListeningReactor) -> None:
         self._gateway = gateway
         self._reactor = reactor
         self._ports: dict[str, Any] = {}
         self._sites: dict[str, ServiceSite] = {}
+        self._unopened: dict[str, Service] = {}
 
     def update(self, services: Iterable[Service]) -> None:
         """Take the services that are in force."""
@@ -66,6 +76,7 @@
             if service is None or service.port != self._sites[identity].service.port:
                 self._ports.pop(identity).stopListening()
                 del self._sites[identity]
+        self._unopened.clear()
         for identity, service in wanted.items():
             site = self._sites.get(identity)
             if site is None:
@@ -73,17 +84,30 @@
             else:
                 site.service = service
 
+    def retry(self) -> None:
+        """Try the ports again that could not be opened."""
+        for service in list(self._unopened.values()):
+            self._open(service)
+
     def stop(self) -> None:
         """Stop taking connections; those that are open go on."""
         for port in self._ports.values():
             port.stopListening()
         self._ports.clear()
         self._sites.clear()
+        self._unopened.clear()
 
     def _open(self, service: Service) -> None:
         site = ServiceSite(self._gateway, service)
-        host = self._gateway.settings.listen_host
+        host = self._gateway.settings.listen_host or service.address
+        try:
+            port = self._reactor.listenTCP(
+                service.port, site, interface=host, backlog=LISTEN_BACKLOG
+            )
+        except CannotListenError:
+            self._gateway.metrics.count("listeners_not_opened")
+            self._unopened[service.identity] = service
+            return
+        self._unopened.pop(service.identity, None)
         self._sites[service.identity] = site
-        self._ports[service.identity] = self._reactor.listenTCP(
-            service.port, site, interface=host, backlog=1024
-        )
+        self._ports[service.identity] = port
--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -37,6 +37,7 @@
 TICK_SECONDS = 0.05
 DRAIN_CHECK_SECONDS = 0.05
 HAND_OVER_SECONDS = 1.0
+RETRY_SECONDS = 1.0
 
 
 class EntryStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -106,6 +107,7 @@
         self._announcements = AnnouncementApi(
             self._host, self._clock.now, self._metrics
         )
+        self._retry_deadline = self._clock.now()
         self._ticker = LoopingCall(self._tick)
 
     def start(self) -> None:
@@ -224,6 +226,9 @@
         self._host.tick(now)
         self._feed.tick(now)
         self._gateway.tick()
+        if now >= self._retry_deadline:
+            self._retry_deadline = now + RETRY_SECONDS
+            self._listeners.retry()
 
     def _administer(self, request: Request) -> None:
         if request.path == PATH and request.method == b"POST":
--- a/src/kingcuppulley/settings.py
+++ b/src/kingcuppulley/settings.py
@@ -36,9 +36,12 @@
 
 
 class CallerSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Say where callers connect and what one request may take."""
+    """Say where callers connect and what one request may take.
 
-    listen_host: str
+    Without `listen_host` each service listens on its own address.
+    """
+
+    listen_host: str = ""
     maximum_body_bytes: Bytes = 1_048_576
     default_timeout_seconds: Seconds = 30.0
     idle_seconds: Seconds = 60.0
