Compare policies of choice, split the host's core, and write the docs from figures

Change: choice policies behind a protocol, with a committed experiment; stewardship and the exchange of records have modules of their own; one codec; failed messages are counted and logged, a failed tick ends the process, a stewardship is looked at again after 1 s.

Lease and claim messages grow with requests and would exceed 11 kB/s if every new flow were a request; the page says so.

--- a/src/kingcuppulley/backend_servers/steward.py
+++ b/src/kingcuppulley/backend_servers/steward.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Iterable
 
+from kingcuppulley.backend_servers.choice import ChoicePolicy
 from kingcuppulley.backend_servers.limits import SlotLimit
 from kingcuppulley.backend_servers.records import TargetRecord, TargetState
 from kingcuppulley.entry_hosts.messages import (
@@ -21,7 +22,7 @@
     SlotRenewed,
     SlotRequest,
 )
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 from kingcuppulley.model import Service
 
 LEASE_SECONDS = 3.0
@@ -73,7 +74,13 @@
             return 0
         return self.limit.current(self.record.state, now) - len(self.leases)
 
-    def utilisation(self, now: float) -> float:
+    @property
+    def name(self) -> str:
+        """Return the server's name."""
+        return self.record.name
+
+    @property
+    def used_share(self) -> float:
         """Return the used share of the slots that the server bears when warm."""
         return len(self.leases) / max(1, self.limit.slots)
 
@@ -92,8 +99,10 @@
         zone: str,
         hosts: Iterable[str],
         sender: Sender[Body],
+        policy: ChoicePolicy,
         now: float,
     ) -> None:
+        self._policy = policy
         self._service = service
         self._zone = zone
         self._sender = sender
@@ -177,6 +186,8 @@
         target = self._targets.get(lease.target)
         if target is not None:
             target.limit.record(release.outcome, release.service_seconds, now)
+            if release.outcome is AttemptOutcome.ANSWERED:
+                self._policy.answered(lease.target, release.service_seconds)
         if release.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.SHED):
             self._free(lease)
             self._serve_queue(now)
@@ -253,7 +264,7 @@
                 return
 
     def _grant(self, waiting: WaitingRequest, now: float) -> bool:
-        target = self._choose(waiting.avoid, now)
+        target = self._choose(waiting, now)
         if target is None:
             return False
         record = target.record
@@ -269,13 +280,15 @@
         self._sender.send(waiting.host, grant)
         return True
 
-    def _choose(self, avoid: str | None, now: float) -> StewardedTarget | None:
+    def _choose(self, waiting: WaitingRequest, now: float) -> StewardedTarget | None:
         free = [t for t in self._targets.values() if t.free(now) > 0]
         if len(free) > 1:
-            free = [t for t in free if t.record.name != avoid]
+            # A retry goes elsewhere, if there is an elsewhere.
+            free = [t for t in free if t.name != waiting.avoid]
         if not free:
             return None
-        return min(free, key=lambda t: (t.utilisation(now), t.last_grant))
+        chosen = self._policy.choose(free, waiting.lease)
+        return self._targets[chosen.name]
 
     def _free(self, lease: SlotLease) -> None:
         self._leases.pop(lease.name, None)
--- a/src/kingcuppulley/callers/gateway.py
+++ b/src/kingcuppulley/callers/gateway.py
@@ -37,7 +37,7 @@
 from kingcuppulley.errors import KingcuppulleyError
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.reactor import Timer
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 from kingcuppulley.internal.tracing import TRACE_HEADER, Span, Tracer
 from kingcuppulley.model import Service
 from kingcuppulley.settings import CallerSettings
@@ -140,12 +140,14 @@
         self._claim = ""
         self._body = b""
         self._key: str | None = None
+        self._is_repeatable = False
         self._began_at = gateway.clock()
+        self._deadline = self._began_at
         self._attempt_began_at = 0.0
         self._idle_deadline = math.inf
         self._is_finished = False
         self._span: Span = gateway.tracer.begin(
-            "entry", request.getHeader("traceparent")
+            "entry", request.getHeader(TRACE_HEADER)
         )
         self._hop: Span | None = None
 
@@ -238,7 +240,6 @@
         self._held_back_bytes = 0
         attempt = Attempt(self._lease, self)
         self._attempt = attempt
-        assert self._core is not None
         self._gateway.client.send(
             attempt,
             grant.host,
@@ -247,7 +248,7 @@
             self._request.uri,
             self._forwarded_headers(),
             self._body,
-            self._facts_are_repeatable,
+            self._is_repeatable,
         )
 
     def cancel_attempt(self) -> None:
@@ -390,7 +391,7 @@
             deadline=self._began_at + timeout_seconds,
             expected_seconds=times.expected(self._service.identity, timeout_seconds),
         )
-        self._facts_are_repeatable = facts.is_repeatable
+        self._is_repeatable = facts.is_repeatable
         self._deadline = facts.deadline
         return facts
 
--- a/src/kingcuppulley/callers/slot_client.py
+++ b/src/kingcuppulley/callers/slot_client.py
@@ -18,7 +18,7 @@
     SlotRenewed,
     SlotRequest,
 )
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 
 RENEWAL_SECONDS = 0.8
 
--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 import msgspec
-from eliot import log_message
+from eliot import log_message, write_failure
 from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
 from twisted.web.http import Request
 from twisted.web.server import Site
 
@@ -129,7 +130,7 @@
             Site(ApiResource(self._administer)),
             interface=administration.listen_host,
         )
-        self._ticker.start(TICK_SECONDS, now=True)
+        _start_ticker(self._ticker, self._reactor)
         log_message(message_type="kingcuppulley:entry-started", host=self._own.name)
 
     def leave(self) -> None:
@@ -234,12 +235,20 @@
         if request.path == PATH and request.method == b"POST":
             self._announcements.handle(request)
         elif request.path == b"/metrics":
-            self._metrics.gauges["flows"] = self._router.flow_count
+            self._update_gauges()
             body = self._metrics.render().encode()
             answer_text(request, 200, body, "text/plain; version=0.0.4")
         else:
             answer_json(request, 200, self._status())
 
+    def _update_gauges(self) -> None:
+        gauges = self._metrics.gauges
+        replication = self._router.replication
+        gauges["flows"] = self._router.flow_count
+        gauges["flows_not_copied_yet"] = replication.pending_count
+        gauges["flow_backups"] = replication.backup_count
+        gauges["claims"] = len(self._host.claims)
+
     def _status(self) -> EntryStatus:
         configuration = self._host.configuration
         return EntryStatus(
@@ -307,7 +316,7 @@
             Site(ApiResource(self._api.handle)),
             interface=administration.listen_host,
         )
-        self._ticker.start(TICK_SECONDS, now=True)
+        _start_ticker(self._ticker, self._reactor)
         log_message(
             message_type="kingcuppulley:control-started",
             host=self._settings.name,
@@ -331,6 +340,20 @@
             )
 
 
+def _start_ticker(ticker: LoopingCall, reactor: Any) -> None:
+    """Tick until stopped; a tick that fails ends the process.
+
+    A daemon that answers but no longer ticks would keep leases and views for ever.
+    Ended, it is a dead host, which the others know how to take over from.
+    """
+
+    def fail(failure: Failure) -> None:
+        write_failure(failure)
+        reactor.stop()
+
+    ticker.start(TICK_SECONDS, now=True).addErrback(fail)
+
+
 def initialise_control_host(settings: ControlSettings) -> None:
     """Make the data folder of a control host, at a deployment's first start only."""
     journal = FileJournal(Path(settings.data_folder))
--- a/src/kingcuppulley/control/distribution.py
+++ b/src/kingcuppulley/control/distribution.py
@@ -7,7 +7,7 @@
 
 from kingcuppulley.control.messages import Body, Delta, Poll
 from kingcuppulley.control.registers import Register
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 
 POLL_SECONDS = 1.0
 POLL_ANSWER_SECONDS = 2.0
--- a/src/kingcuppulley/control/messages.py
+++ b/src/kingcuppulley/control/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from kingcuppulley.control.registers import Ballot, Register
-from kingcuppulley.errors import MalformedMessageError
+from kingcuppulley.internal.message_codec import MessageCodec
 
 
 class Prepare(msgspec.Struct, frozen=True, tag="p"):
@@ -141,20 +141,4 @@
     body: Body
 
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Envelope)
-
-
-def encode_envelope(envelope: Envelope) -> bytes:
-    """Return the bytes of a message."""
-    return _ENCODER.encode(envelope)
-
-
-def decode_envelope(data: bytes) -> Envelope:
-    """Return the message of these bytes, or raise `MalformedMessageError`."""
-    try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise MalformedMessageError(
-            f"{error}; run the same version on every host"
-        ) from error
+CODEC = MessageCodec(Envelope)
--- a/src/kingcuppulley/control/peer_task.py
+++ b/src/kingcuppulley/control/peer_task.py
@@ -6,10 +6,9 @@
 from typing import Protocol
 
 from kingcuppulley.control.messages import (
+    CODEC,
     Body,
     Envelope,
-    decode_envelope,
-    encode_envelope,
 )
 from kingcuppulley.errors import MalformedMessageError
 from kingcuppulley.internal.counters import Metrics
@@ -65,11 +64,11 @@
         address = self._addresses.get(host)
         if address is not None:
             envelope = Envelope(self._name, self._own_address, message)
-            self._link.send(address, encode_envelope(envelope))
+            self._link.send(address, CODEC.encode(envelope))
 
     def _take(self, data: bytes) -> None:
         try:
-            envelope = decode_envelope(data)
+            envelope = CODEC.decode(data)
         except MalformedMessageError:
             self._metrics.count("control_messages_malformed")
             return
--- a/src/kingcuppulley/control/replica.py
+++ b/src/kingcuppulley/control/replica.py
@@ -31,7 +31,7 @@
     NotVotingError,
     StorageError,
 )
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 
 HELLO_SECONDS = 0.5
 CHECK_SECONDS = 3.0
--- a/src/kingcuppulley/control/round.py
+++ b/src/kingcuppulley/control/round.py
@@ -21,7 +21,7 @@
     Register,
     apply_change,
 )
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 
 ROUND_SECONDS = 1.0
 CHANGE_SECONDS = 10.0
--- a/src/kingcuppulley/entry_hosts/claims.py
+++ b/src/kingcuppulley/entry_hosts/claims.py
@@ -27,7 +27,7 @@
     ClaimVerdict,
 )
 from kingcuppulley.internal.rendezvous import hash_name, rank_names
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 
 RETENTION_SECONDS = 600.0
 COPY_SECONDS = 0.4
--- a/src/kingcuppulley/entry_hosts/configuration_feed.py
+++ b/src/kingcuppulley/entry_hosts/configuration_feed.py
@@ -8,7 +8,7 @@
 from kingcuppulley.control.distribution import Publisher, Subscriber
 from kingcuppulley.control.messages import Body, Delta, Poll
 from kingcuppulley.control.registers import Register
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 from kingcuppulley.operators.configuration import Configuration, render_configuration
 
 
--- a/src/kingcuppulley/entry_hosts/host.py
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -9,9 +9,10 @@
 
 from kingcuppulley.backend_servers.directory import Directory
 from kingcuppulley.backend_servers.records import TargetRecord, TargetState
-from kingcuppulley.backend_servers.steward import Steward
+from kingcuppulley.backend_servers.stewardship import Stewardship
 from kingcuppulley.callers.slot_client import SlotClient
 from kingcuppulley.entry_hosts.claims import ClaimRegister
+from kingcuppulley.entry_hosts.directory_exchange import DirectoryExchange
 from kingcuppulley.entry_hosts.membership import HostAddress, Membership
 from kingcuppulley.entry_hosts.messages import (
     AnnouncementsAlive,
@@ -30,7 +31,6 @@
     Heartbeat,
     LeaseQuery,
     LeaseReport,
-    RefusalReason,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
@@ -44,19 +44,16 @@
 from kingcuppulley.fabric.router import PacketRouter
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.rendezvous import rank_names
-from kingcuppulley.internal.tasks import Sender
-from kingcuppulley.model import Service, Tier
+from kingcuppulley.internal.sender import Sender
+from kingcuppulley.model import Service
 from kingcuppulley.operators.configuration import Configuration
 
 SMALL_EXCEPTIONS_PER_SECOND = 1000
-LARGE_EXCEPTIONS_PER_SECOND = 200
+LARGE_EXCEPTIONS_PER_SECOND = 100
 EXCEPTION_SECONDS = 0.1
 TRANSFER_SECONDS = 0.5
 EXPIRY_SECONDS = 0.5
-ALIVE_SECONDS = 1.0
-DIFFERENCE_SECONDS = 1.0
 START_SECONDS = 3.0
-RECORDS_PER_UPDATE = 64
 FLOWS_PER_MESSAGE = 8192
 
 
@@ -67,16 +64,6 @@
         """Take one answer."""
 
 
-class DirectoryDifference:
-    """Hold a difference between two hosts' records and when it is acted on."""
-
-    __slots__ = ("difference", "deadline")
-
-    def __init__(self, difference: int, deadline: float) -> None:
-        self.difference = difference
-        self.deadline = deadline
-
-
 class EntryHost:
     """Wire the decisions of one entry host and pass each message to its core."""
 
@@ -103,15 +90,15 @@
         self._claims = ClaimRegister(
             name, self._zone, self._zones, self._membership, sender, now
         )
-        self._stewards: dict[str, Steward] = {}
+        self._exchange = DirectoryExchange(name, self._directory, sender, now)
+        self._stewardship = Stewardship(
+            name, self._zone, [host.name for host in self._hosts], sender, metrics
+        )
         self._configuration = Configuration({}, {}, {}, frozenset(), [])
         self._live: list[str] = []
         self._owners: list[str] = []
-        self._difference_since: dict[str, DirectoryDifference] = {}
         self._steward_cache: dict[tuple[str, str], str | None] = {}
         self._expiry_deadline = now
-        self._alive_deadline = now
-        self._alive_names: dict[str, list[str]] = {}
         self._start_deadline = now + START_SECONDS
         self._is_leaving = False
         self._has_records = False
@@ -215,27 +202,13 @@
         """Take a backend server's announcement, or pass it to its steward."""
         steward = self.steward_of(record.service, record.zone, now)
         if steward is not None and steward != self._name:
-            self._pass_on(steward, record)
+            self._exchange.pass_on(steward, record)
             return
         news = self._directory.announced(record, now)
         if news is not None:
-            self._spread([news])
+            self._exchange.spread([news], self._live)
             self._refresh_targets(now)
 
-    def _pass_on(self, steward: str, record: TargetRecord) -> None:
-        if self._directory.is_news(record):
-            self._sender.send(steward, AnnouncementSeen(record))
-        else:
-            self._alive_names.setdefault(steward, []).append(record.name)
-
-    def _pass_on_alive(self, now: float) -> None:
-        if now < self._alive_deadline:
-            return
-        self._alive_deadline = now + ALIVE_SECONDS
-        for steward, names in self._alive_names.items():
-            self._sender.send(steward, AnnouncementsAlive(names))
-        self._alive_names = {}
-
     def leave(self, now: float) -> None:
         """Hand over what this host owns and tell the others that it leaves."""
         self._is_leaving = True
@@ -259,14 +232,15 @@
                 self._sender.send(host, heartbeat)
         self._join_when_ready(now)
         self._refresh_view(now, force=False)
-        self._pass_on_alive(now)
+        self._exchange.tick(now)
         self._expire_targets(now)
         self._router.tick(now)
         self._router.replication.step()
         self._hand_over()
         self._copy_exceptions(now)
-        for steward in list(self._stewards.values()):
-            steward.tick(now)
+        self._stewardship.tick(now)
+        if self._stewardship.is_retake_due(now):
+            self._refresh_stewards(now)
         self._spread_limits(now)
         self._slots.tick(now)
         self._claims.tick(now)
@@ -279,7 +253,7 @@
                 self._membership.receive(body, now)
                 if not self._membership.has_joined and not self._is_leaving:
                     self._sender.send(host, TargetRequest())
-                self._compare_digest(host, body.targets_digest, now)
+                self._exchange.compare_digest(host, body.targets_digest, now)
             case FlowQuery() | FlowAnswer() | FlowCopies():
                 self._receive_flow(host, body, now)
             case TargetUpdate():
@@ -287,7 +261,7 @@
                 if self._directory.merge(body.records):
                     self._refresh_targets(now)
             case TargetRequest():
-                self._send_records(host, self._directory.records)
+                self._exchange.send_all(host)
             case AnnouncementSeen():
                 self.announced(body.record, now)
             case AnnouncementsAlive():
@@ -302,8 +276,17 @@
             case ClaimTransferDone():
                 self._untransferred.discard(host)
                 self._claims.transferred(body.vouches_for_seconds, now)
-            case _:
-                self._receive_slot(host, body, now)
+            case SlotRequest() | SlotRelease() | SlotRenewal() | LeaseReport():
+                self._stewardship.receive(host, body, now)
+            case SlotGrant():
+                self._slots.granted(host, body, now)
+            case SlotRefusal():
+                self._slots.refused(host, body)
+            case SlotRenewed():
+                self._slots.renewed(host, body)
+            case LeaseQuery():
+                self._stewardship.queried(host, body, now)
+                self._slots.queried(host, body, now)
 
     def _join_when_ready(self, now: float) -> None:
         """Begin to own, once others have told which servers and claims there are.
@@ -319,21 +302,6 @@
             self._membership.join()
             self._refresh_view(now, force=True)
 
-    def _compare_digest(self, host: str, digest: int, now: float) -> None:
-        # Records that are on their way make digests differ for a moment.  Asking for
-        # all of them only pays once one difference has stood for a while.
-        if digest == self._directory.digest:
-            self._difference_since.pop(host, None)
-            return
-        difference = digest ^ self._directory.digest
-        known = self._difference_since.get(host)
-        if known is None or known.difference != difference:
-            deadline = now + DIFFERENCE_SECONDS
-            self._difference_since[host] = DirectoryDifference(difference, deadline)
-        elif now >= known.deadline:
-            del self._difference_since[host]
-            self._sender.send(host, TargetRequest())
-
     def _receive_flow(
         self, host: str, body: FlowQuery | FlowAnswer | FlowCopies, now: float
     ) -> None:
@@ -367,42 +335,6 @@
             case ClaimCopied():
                 self._claims.copied(host, body)
 
-    def _receive_slot(self, host: str, body: Body, now: float) -> None:
-        match body:
-            case SlotRequest():
-                steward = self._stewards.get(body.service)
-                if steward is None:
-                    reason = RefusalReason.NOT_STEWARD
-                    self._sender.send(host, SlotRefusal(body.lease, reason))
-                else:
-                    steward.request(host, body, now)
-            case SlotRelease():
-                for steward in self._stewards.values():
-                    steward.release(host, body, now)
-            case SlotRenewal():
-                for steward in self._stewards.values():
-                    steward.renew(host, body, now)
-            case LeaseReport():
-                steward = self._stewards.get(body.service)
-                if steward is not None and body.zone == self._zone:
-                    steward.learn(host, body, now)
-            case SlotGrant():
-                self._slots.granted(host, body, now)
-            case SlotRefusal():
-                self._slots.refused(host, body)
-            case SlotRenewed():
-                self._slots.renewed(host, body)
-            case LeaseQuery():
-                self._queried(host, body, now)
-
-    def _queried(self, host: str, query: LeaseQuery, now: float) -> None:
-        # Whoever asks counts the slots from here on.  If this host still believes it
-        # is the steward, it stops at once: its own next view decides whether it
-        # starts again, and then it has to ask first as well.
-        if host != self._name and query.zone == self._zone:
-            self._stewards.pop(query.service, None)
-        self._slots.queried(host, query, now)
-
     def _refresh_view(self, now: float, force: bool) -> None:
         zones_out = self._configuration.zones_out
         live = self._membership.live_hosts(now)
@@ -417,35 +349,23 @@
         self._refresh_stewards(now)
 
     def _refresh_stewards(self, now: float) -> None:
-        services = self._configuration.services
-        for identity in list(self._stewards):
-            mine = self.steward_of(identity, self._zone, now) == self._name
-            if identity not in services or not mine:
-                del self._stewards[identity]
-        for identity, service in services.items():
-            if service.tier is not Tier.REQUESTS or self._zone not in service.zones:
-                continue
-            if self.steward_of(identity, self._zone, now) != self._name:
-                continue
-            steward = self._stewards.get(identity)
-            if steward is not None:
-                steward.update_service(service, now)
-                continue
-            self._metrics.count("stewardships_taken")
-            names = [host.name for host in self._hosts]
-            steward = Steward(service, self._zone, names, self._sender, now)
-            self._stewards[identity] = steward
+        self._stewardship.update(
+            self._configuration.services,
+            lambda service: self.steward_of(service, self._zone, now),
+            now,
+        )
         self._refresh_targets(now)
 
     def _refresh_targets(self, now: float) -> None:
         zones_out = self._configuration.zones_out
         records = self._directory.records
         self._router.update_targets(records, zones_out)
-        for identity, steward in self._stewards.items():
-            own = self._directory.of_service(identity, self._zone)
-            if self._zone in zones_out:
-                own = []
-            steward.update_targets(own, now)
+        self._stewardship.update_targets(self._own_targets, now)
+
+    def _own_targets(self, service: str) -> list[TargetRecord]:
+        if self._zone in self._configuration.zones_out:
+            return []
+        return self._directory.of_service(service, self._zone)
 
     def _expire_targets(self, now: float) -> None:
         if now < self._expiry_deadline:
@@ -461,12 +381,12 @@
         gone = self._directory.expire(watched, now)
         if gone:
             self._metrics.count("backend_servers_silent", len(gone))
-            self._spread(gone)
+            self._exchange.spread(gone, self._live)
             self._refresh_targets(now)
 
     def mark_target(self, name: str, state: TargetState, now: float) -> None:
         """Change the state of a backend server that this host stewards."""
-        self._spread([self._directory.mark(name, state)])
+        self._exchange.spread([self._directory.mark(name, state)], self._live)
         self._refresh_targets(now)
 
     def _hand_over(self) -> None:
@@ -476,11 +396,10 @@
     def _spread_limits(self, now: float) -> None:
         proven = [
             self._directory.prove(name, slots)
-            for steward in self._stewards.values()
-            for name, slots in steward.proven_limits().items()
+            for name, slots in self._stewardship.proven_limits().items()
         ]
         if proven:
-            self._spread(proven)
+            self._exchange.spread(proven, self._live)
             self._refresh_targets(now)
 
     def _copy_exceptions(self, now: float) -> None:
@@ -501,17 +420,6 @@
                 self._metrics.count("flow_copy_bytes", len(packed))
                 self._sender.send(host, FlowCopies(target, packed, as_owner))
 
-    def _spread(self, records: list[TargetRecord]) -> None:
-        for host in self._live:
-            if host != self._name:
-                self._send_records(host, records)
-
-    def _send_records(self, host: str, records: list[TargetRecord]) -> None:
-        # An empty answer is sent as well: it tells that there is nothing to know.
-        for start in range(0, max(1, len(records)), RECORDS_PER_UPDATE):
-            piece = records[start : start + RECORDS_PER_UPDATE]
-            self._sender.send(host, TargetUpdate(piece))
-
     def _ask_transfer(self, now: float) -> None:
         if not self._untransferred or now < self._transfer_deadline:
             return
--- a/src/kingcuppulley/entry_hosts/messages.py
+++ b/src/kingcuppulley/entry_hosts/messages.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from kingcuppulley.backend_servers.records import TargetRecord
-from kingcuppulley.errors import MalformedMessageError
+from kingcuppulley.internal.message_codec import MessageCodec
 
 
 class AttemptOutcome(StrEnum):
@@ -280,20 +280,4 @@
     body: Body
 
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Envelope)
-
-
-def encode_envelope(envelope: Envelope) -> bytes:
-    """Return the bytes of a message."""
-    return _ENCODER.encode(envelope)
-
-
-def decode_envelope(data: bytes) -> Envelope:
-    """Return the message of these bytes, or raise `MalformedMessageError`."""
-    try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        raise MalformedMessageError(
-            f"{error}; run the same version on every entry host"
-        ) from error
+CODEC = MessageCodec(Envelope)
--- a/src/kingcuppulley/entry_hosts/peer_task.py
+++ b/src/kingcuppulley/entry_hosts/peer_task.py
@@ -7,10 +7,9 @@
 from kingcuppulley.entry_hosts.host import EntryHost
 from kingcuppulley.entry_hosts.membership import HostAddress
 from kingcuppulley.entry_hosts.messages import (
+    CODEC,
     Body,
     Envelope,
-    decode_envelope,
-    encode_envelope,
 )
 from kingcuppulley.errors import MalformedMessageError
 from kingcuppulley.internal.counters import Metrics
@@ -58,11 +57,11 @@
             self._timer.callLater(0, self._deliver, host, message)
             return
         envelope = Envelope(self._own.name, self._incarnation, message)
-        self._link.send(self._addresses[host], encode_envelope(envelope))
+        self._link.send(self._addresses[host], CODEC.encode(envelope))
 
     def _take(self, data: bytes) -> None:
         try:
-            envelope = decode_envelope(data)
+            envelope = CODEC.decode(data)
         except MalformedMessageError:
             self._metrics.count("peer_messages_malformed")
             return
--- a/src/kingcuppulley/errors.py
+++ b/src/kingcuppulley/errors.py
@@ -52,6 +52,16 @@
         )
 
 
+class MissingMeasurementError(KingcuppulleyError):
+    """Report a measurement that does not hold a figure which the page needs."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(
+            f"the measurement has no figure named {name!r}; run `make measure` with "
+            "this version and name its report"
+        )
+
+
 class MalformedPacketError(KingcuppulleyError):
     """Report a packet that is truncated or carries a protocol that is not served."""
 
--- a/src/kingcuppulley/experiments/capacity.py
+++ b/src/kingcuppulley/experiments/capacity.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
+from kingcuppulley.entry_hosts.host import LARGE_EXCEPTIONS_PER_SECOND
+from kingcuppulley.errors import MissingMeasurementError
 from kingcuppulley.experiments.measure import Measurement
 
 SECONDS_PER_DAY = 86_400
 ANNOUNCEMENTS_PER_SECOND = 2.0
 CHANGES_OF_RECORD_PER_RESTART = 4
-LARGE_EXCEPTIONS_PER_SECOND = 200
 BYTES_PER_FLOW_COPY = 8
 
 
@@ -82,13 +83,13 @@
         flows = self._size.open_flows / self._size.entry_hosts
         name = "resident bytes for each of 300000 open flows"
         new = self._size.new_flows_per_second / self._size.entry_hosts
-        decisions = self._figures["packet decisions a second on one core"]
+        decisions = self._figure("packet decisions a second on one core")
         return [
             _row("forwarder", "open flows", flows, "flows", "owner by rendezvous"),
             _row(
                 "forwarder",
                 "memory of flows",
-                flows * self._figures[name] / 1e6,
+                flows * self._figure(name) / 1e6,
                 "MB",
                 "two generations of hash to target number",
             ),
@@ -104,7 +105,7 @@
 
     def _gateway(self) -> list[Row]:
         rate = self._size.new_flows_per_second / self._size.entry_hosts
-        each = self._figures["gateway processor seconds a request"]
+        each = self._figure("gateway processor seconds a request")
         return [
             _row(
                 "gateway",
@@ -112,16 +113,30 @@
                 rate * each,
                 "core",
                 "slot lease a request, steward of the zone",
-            )
+            ),
+            _row(
+                "gateway",
+                "lease messages if each new flow were a request",
+                2 * rate * self._figure("messages of one request's slot"),
+                "B/s",
+                "grows with requests, so counted with them",
+            ),
+            _row(
+                "gateway",
+                "claim messages if each were a keyed booking",
+                2 * rate * self._figure("messages of one booking's claim"),
+                "B/s",
+                "home and two copies, before sending",
+            ),
         ]
 
     def _traffic(self) -> list[Row]:
         size = self._size
         per_zone = size.targets / size.zones * ANNOUNCEMENTS_PER_SECOND
         passed = per_zone / (size.entry_hosts / size.zones)
-        announcements = 2 * passed * self._figures["an announcement passed on"]
+        announcements = 2 * passed * self._figure("an announcement passed on")
         restarts = (size.restarts_per_day + size.failures_per_day) / SECONDS_PER_DAY
-        spread = self._figures["a backend server record spread"]
+        spread = self._figure("a backend server record spread")
         records = 2 * restarts * CHANGES_OF_RECORD_PER_RESTART * spread
         parts = {
             "membership": self._at(
@@ -146,7 +161,7 @@
                 "traffic: sum while exceptions are copied",
                 total + 2 * exceptions,
                 "B/s",
-                "200 flows a second, 8 bytes each",
+                "100 flows a second, 8 bytes each",
             ),
         ]
 
@@ -219,20 +234,27 @@
             _row(
                 "control host",
                 "one synced record",
-                self._figures["one synced record"] * 1e3,
+                self._figure("one synced record") * 1e3,
                 "ms",
                 "journal, synced before the vote is sent",
             ),
             _row(
                 "distribution",
                 "acceptance to force, p99",
-                self._figures["acceptance to force at 510 nodes, p99, virtual clock"],
+                self._figure("acceptance to force at 510 nodes, p99, virtual clock"),
                 "s",
                 "poll each second",
             ),
         ]
 
+    def _figure(self, name: str) -> float:
+        if name not in self._figures:
+            raise MissingMeasurementError(name)
+        return self._figures[name]
+
     def _at(self, name: str, size: float) -> float:
+        if name not in self._slopes:
+            raise MissingMeasurementError(name)
         return self._slopes[name].at(size)
 
 
--- a/src/kingcuppulley/experiments/processes.py
+++ b/src/kingcuppulley/experiments/processes.py
@@ -47,6 +47,7 @@
     )
     control_hosts: int = 3
     flow_generation_seconds: float = 60.0
+    writes_traces: bool = False
 
 
 class ServicePlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -308,6 +309,10 @@
         """Return the data folder of a control host."""
         return self._folder / f"{control}-data"
 
+    def trace_file(self, entry: str) -> Path:
+        """Return the file that an entry host writes its spans to."""
+        return self._folder / f"{entry}.spans"
+
     def _start(self, name: str, arguments: list[str]) -> None:
         log = (self._folder / f"{name}.log").open("ab")
         command = [sys.executable, "-m", *arguments]
@@ -353,6 +358,8 @@
             f'listen_host = "{host}"\n'
             "[administration]\n"
             f'listen_host = "{host}"\nlisten_port = {ADMINISTRATION_PORT}\n'
+            "[traces]\n"
+            f'file = "{self.trace_file(name) if self._plan.writes_traces else ""}"\n'
             f"{hosts}{self._control_list()}"
         )
 
--- a/src/kingcuppulley/experiments/scale.py
+++ b/src/kingcuppulley/experiments/scale.py
@@ -19,11 +19,12 @@
 from kingcuppulley.backend_servers.records import TargetRecord, TargetState
 from kingcuppulley.control.acceptor import Acceptor
 from kingcuppulley.control.journal import FileJournal
+from kingcuppulley.control.messages import CODEC as CONTROL_CODEC
 from kingcuppulley.control.messages import Chosen
 from kingcuppulley.control.messages import Envelope as ControlEnvelope
-from kingcuppulley.control.messages import encode_envelope as encode_control
 from kingcuppulley.control.registers import Change, ChangeKind, Register
 from kingcuppulley.control.replica import Replica
+from kingcuppulley.entry_hosts.claims import IssuedKey
 from kingcuppulley.entry_hosts.configuration_feed import ConfigurationFeed
 from kingcuppulley.entry_hosts.host import EntryHost
 from kingcuppulley.entry_hosts.membership import (
@@ -32,11 +33,21 @@
     Membership,
 )
 from kingcuppulley.entry_hosts.messages import (
+    CODEC,
     AnnouncementsAlive,
+    AttemptOutcome,
+    ClaimAnswer,
+    ClaimCopied,
+    ClaimCopy,
+    ClaimRequest,
+    ClaimResult,
+    ClaimVerdict,
     Envelope,
     Heartbeat,
+    SlotGrant,
+    SlotRelease,
+    SlotRequest,
     TargetUpdate,
-    encode_envelope,
 )
 from kingcuppulley.experiments.figures import Figure, Point, Slope, fit
 from kingcuppulley.experiments.relay import NoSender
@@ -168,7 +179,31 @@
     alive = AnnouncementsAlive([record.name])
     size = len(_encode_entry("entry-1", alive))
     update = len(_encode_entry("entry-1", TargetUpdate([record])))
+    lease = "entry-1.0a1b2c3d.100000"
+    slot = [
+        SlotRequest(lease, record.service, 1.0, None),
+        SlotGrant(lease, record.name, record.host, record.request_port, 3.0),
+        SlotRelease(lease, AttemptOutcome.ANSWERED, 0.1),
+    ]
+    key = IssuedKey.format("zone-0", 1_796_000_000.0, "0" * 16)
+    claim_copy = ClaimCopy(lease, key, "0" * 64, 600.0)
+    result = ClaimResult(lease, key, 200, b"x" * 300, "application/json")
+    claim = [
+        ClaimRequest(lease, key, "0" * 64),
+        claim_copy,
+        claim_copy,
+        ClaimCopied(lease, key, lease),
+        ClaimCopied(lease, key, lease),
+        ClaimAnswer(lease, ClaimVerdict.GRANTED),
+        result,
+        result,
+        result,
+    ]
+    slot_bytes = sum(len(_encode_entry("entry-1", message)) for message in slot)
+    claim_bytes = sum(len(_encode_entry("entry-1", message)) for message in claim)
     return [
+        Figure(name="messages of one request's slot", value=slot_bytes, unit="bytes"),
+        Figure(name="messages of one booking's claim", value=claim_bytes, unit="bytes"),
         Figure(name="an announcement passed on", value=size, unit="bytes"),
         Figure(name="a backend server record spread", value=update, unit="bytes"),
     ]
@@ -349,12 +384,12 @@
 
 
 def _encode_entry(sender: str, message: Any) -> bytes:
-    return encode_envelope(Envelope(sender, 1, message))
+    return CODEC.encode(Envelope(sender, 1, message))
 
 
 def _encode_control(sender: str, message: Any) -> bytes:
     envelope = ControlEnvelope(sender, "tcp://127.100.100.100:7002", message)
-    return encode_control(envelope)
+    return CONTROL_CODEC.encode(envelope)
 
 
 def _traced(build: Callable[[], object]) -> float:
--- a/src/kingcuppulley/fabric/udp_task.py
+++ b/src/kingcuppulley/fabric/udp_task.py
@@ -12,7 +12,7 @@
 from kingcuppulley.entry_hosts.messages import Body, FlowQuery
 from kingcuppulley.fabric.router import PacketRouter
 from kingcuppulley.internal.counters import Metrics
-from kingcuppulley.internal.tasks import Sender
+from kingcuppulley.internal.sender import Sender
 
 
 class PacketSocket(DatagramProtocol):
--- a/src/kingcuppulley/internal/peer_link.py
+++ b/src/kingcuppulley/internal/peer_link.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import pynng
+from eliot import write_traceback
 
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.reactor import ReaderReactor
@@ -85,7 +86,16 @@
             except (pynng.TryAgain, pynng.Timeout):
                 return
             self._metrics.count("peer_bytes_received", len(data))
+            self._pass_on(data)
+
+    def _pass_on(self, data: bytes) -> None:
+        # The reactor drops a reader that raises.  A message that this version cannot
+        # handle must not make the host deaf to all others, so it is counted and logged.
+        try:
             self._on_data(data)
+        except Exception:
+            self._metrics.count("peer_messages_failed")
+            write_traceback()
 
     def _dial(self, address: str) -> pynng.Push0:
         socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
--- a/src/kingcuppulley/internal/tasks.py
+++ b/src/kingcuppulley/internal/sender.py
@@ -1,4 +1,4 @@
-"""Define what a core of decisions asks of the task that owns its sockets."""
+"""Define how a core sends messages: through the task that owns its sockets."""
 
 from __future__ import annotations
 
--- a/src/kingcuppulley/operators/administration.py
+++ b/src/kingcuppulley/operators/administration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from eliot import log_message
+from twisted.python.failure import Failure
 from twisted.web.http import Request
 
 from kingcuppulley.control.registers import (
@@ -76,6 +77,20 @@
     changed: list[str]
 
 
+class WaitingOperator:
+    """Hold the request of an operator who may hang up before the answer."""
+
+    __slots__ = ("request", "is_there")
+
+    def __init__(self, request: Request) -> None:
+        self.request = request
+        self.is_there = True
+        request.notifyFinish().addErrback(self._hung_up)
+
+    def _hung_up(self, _: Failure) -> None:
+        self.is_there = False
+
+
 class AdministrationApi:
     """Check each operator's request and bring changes to the replica."""
 
@@ -199,10 +214,11 @@
         if request.args.get(b"dry-run"):
             self._dry_run(request, change)
             return
+        caller = WaitingOperator(request)
         self._replica.change(
             change,
-            lambda answer: self._answered(request, change, answer),
-            lambda failure: self._failed(request, failure),
+            lambda answer: self._answered(caller, change, answer),
+            lambda failure: self._failed(caller, failure),
             self._clock(),
         )
 
@@ -246,7 +262,9 @@
         )
         answer_json(request, 200, report)
 
-    def _answered(self, request: Request, change: Change, answer: ChangeAnswer) -> None:
+    def _answered(
+        self, caller: WaitingOperator, change: Change, answer: ChangeAnswer
+    ) -> None:
         if answer.outcome is ChangeOutcome.ACCEPTED:
             status = 200
             self._metrics.count("changes_accepted")
@@ -260,13 +278,13 @@
         else:
             status = 409
             self._metrics.count("changes_in_conflict")
-        if not request._disconnected:
-            answer_json(request, status, answer)
+        if caller.is_there:
+            answer_json(caller.request, status, answer)
 
-    def _failed(self, request: Request, failure: KingcuppulleyError) -> None:
+    def _failed(self, caller: WaitingOperator, failure: KingcuppulleyError) -> None:
         self._metrics.count("changes_failed")
-        if not request._disconnected:
-            answer_fault(request, 503, type(failure).__name__, str(failure))
+        if caller.is_there:
+            answer_fault(caller.request, 503, type(failure).__name__, str(failure))
 
 
 class AuditLine(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/kingcuppulley/operators/configuration.py
+++ b/src/kingcuppulley/operators/configuration.py
@@ -56,10 +56,15 @@
     templates: dict[str, Template] = {}
     accounts: dict[str, ClientAccount] = {}
     zones_out = set()
+    faults: list[str] = []
     for register in registers:
         if register.document is None:
             continue
-        document = decode_document(register.key, register.document)
+        try:
+            document = decode_document(register.key, register.document)
+        except msgspec.MsgspecError as error:
+            faults.append(f"{register.key}: {error}")
+            continue
         if isinstance(document, Template):
             templates[document.name] = document
         elif isinstance(document, ClientAccount):
@@ -68,7 +73,6 @@
             zones_out.add(document.name)
     services: dict[str, Service] = {}
     taken: set[tuple[str, int, str]] = set()
-    faults: list[str] = []
     for account in sorted(accounts.values(), key=lambda a: a.name):
         _add_services(account, templates, services, taken, faults)
     return Configuration(templates, accounts, services, frozenset(zones_out), faults)
--- /dev/null
+++ b/tests/cover/test_capacity_page.py
@@ -0,0 +1,22 @@
+"""Cover the page of capacities: it says what the measured slopes give."""
+
+from pathlib import Path
+
+from typer.testing import CliRunner
+
+from kingcuppulley.experiments.choice import compare_policies
+from kingcuppulley.operators.command_line import application
+
+DOCS = Path(__file__).parents[2] / "docs"
+
+
+def test_the_page_holds_what_the_command_computes_from_the_kept_measurement():
+    file = str(DOCS / "figures" / "measure.json")
+    result = CliRunner().invoke(application, ["capacity", file])
+    assert result.exit_code == 0
+    assert result.stdout.strip() in (DOCS / "CAPACITY.md").read_text()
+
+
+def test_the_chosen_policy_spreads_best_of_those_that_were_weighed():
+    chosen, *others = compare_policies()
+    assert all(chosen.imbalance < other.imbalance for other in others)
--- a/tests/cover/test_slot_limits.py
+++ b/tests/cover/test_slot_limits.py
@@ -148,6 +148,21 @@
     assert user.refusal is not None
 
 
+def test_a_steward_that_was_replaced_by_mistake_takes_its_service_up_again(requests):
+    """The other's view was wrong for a moment, and this host's never changes."""
+    cluster = requests.cluster
+    now = cluster.network.now
+    steward = cluster.hosts["entry-1"].steward_of(ORDER_DESK.identity, ZONE, now)
+    other = next(n for n in ("entry-4", "entry-5") if n != steward)
+    query = LeaseQuery(ORDER_DESK.identity, ZONE)
+    cluster.hosts[steward].receive(other, query, now)
+    requests.ask("entry-1")
+    assert not requests.granted()
+    cluster.run(6.0)
+    requests.ask("entry-1")
+    assert requests.granted()
+
+
 def test_a_gateway_that_cannot_renew_stops_before_its_slot_is_given_to_another(
     requests,
 ):
--- a/tests/nocover/test_processes.py
+++ b/tests/nocover/test_processes.py
@@ -1,5 +1,6 @@
 """Run real processes on loopback: kill them, take their disks, and read the docs."""
 
+import json
 import re
 import shlex
 import shutil
@@ -33,7 +34,8 @@
 
 @pytest.fixture(scope="module")
 def deployment(tmp_path_factory):
-    plan = Plan(zones=("zone-a", "zone-b"), entry_hosts=("zone-a", "zone-b"))
+    zones = ("zone-a", "zone-b")
+    plan = Plan(zones=zones, entry_hosts=zones, writes_traces=True)
     deployment = Deployment(tmp_path_factory.mktemp("deployment"), plan)
     try:
         deployment.start_system()
@@ -90,6 +92,17 @@
     assert first.rpartition(b"\r\n\r\n")[2] == again.rpartition(b"\r\n\r\n")[2]
 
 
+def test_every_hop_of_a_booking_leaves_a_span_in_the_callers_trace(deployment):
+    trace = "0af7651916cd43dd8448eb211c80319c"
+    header = f"00-{trace}-b7ad6b7169203331-01"
+    key = issued_key(deployment)
+    ask(deployment, http("POST", Idempotency_Key=key, traceparent=header))
+    lines = deployment.trace_file("entry-1").read_text().splitlines()
+    spans = [json.loads(line) for line in lines]
+    names = {span["name"] for span in spans if trace in span["context"]["trace_id"]}
+    assert names == {"entry", "claim", "steward", "attempt"}
+
+
 @pytest.mark.parametrize(
     "header", [{"Request_Timeout": "soon"}, {"Request_Timeout": -1}]
 )
