Let a host that sees no other grant no slots

Cause: 150 random runs of the state machine found 3 of 2 slots of a server in use: a host cut off from all others took itself for the steward and granted, while the others did the same. Ruled out: leases that were not renewed; those ended in time.

Change: a host that sees no other, where several are configured, knows no steward and refuses truthfully.

The last host of a deployment serves no requests; that is the price.

--- a/src/kingcuppulley/entry_hosts/host.py
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -165,7 +165,14 @@
         self._refresh_targets(now)
 
     def steward_of(self, service: str, zone: str, now: float) -> str | None:
-        """Return the host that grants a service's slots in a zone, or None."""
+        """Return the host that grants a service's slots in a zone, or None.
+
+        A host that sees no other one is more likely cut off than the last, and the
+        others go on granting the same slots.  It therefore knows no steward, not even
+        itself, and refuses requests truthfully.
+        """
+        if self._live == [self._name] and len(self._hosts) > 1:
+            return None
         place = (service, zone)
         if place not in self._steward_cache:
             hosts = self._membership.owners_of_zone(zone, now)
--- a/tests/cover/test_slot_limits.py
+++ b/tests/cover/test_slot_limits.py
@@ -163,6 +163,21 @@
     assert requests.granted()
 
 
+def test_a_host_that_sees_no_other_grants_no_slots_of_its_own(requests):
+    """It still reaches the servers, whose slots the others grant as well."""
+    warm_up(requests)
+    cluster = requests.cluster
+    cluster.network.cut(["entry-4"], set(cluster.names) - {"entry-4"})
+    for _ in range(100):
+        cluster.run(0.1)
+        now = cluster.network.now
+        for name in ("entry-4", "entry-5"):
+            if cluster.hosts[name].steward_of(ORDER_DESK.identity, ZONE, now):
+                requests.ask(name)
+        assert max(requests.in_use().values(), default=0) <= 2
+    assert sum(requests.in_use().values()) == 6
+
+
 def test_a_gateway_that_cannot_renew_stops_before_its_slot_is_given_to_another(
     requests,
 ):
