--- a/src/kingcuppulley/entry_hosts/host.py
+++ b/src/kingcuppulley/entry_hosts/host.py
@@ -162,7 +162,6 @@
         self._configuration = configuration
         self._router.update_services(configuration.services.values())
         self._refresh_view(now, force=True)
-        self._refresh_targets(now)
 
     def steward_of(self, service: str, zone: str, now: float) -> str | None:
         """Return the host that grants a service's slots in a zone, or None.
@@ -272,8 +271,7 @@
             case AnnouncementSeen():
                 self.announced(body.record, now)
             case AnnouncementsAlive():
-                for name in self._directory.refresh(body.names, now):
-                    self.mark_target(name, TargetState.COLD, now)
+                self._take_back(self._directory.refresh(body.names, now), now)
             case ClaimRequest() | ClaimAnswer() | ClaimCopy() | ClaimCopied():
                 self._receive_claim(host, body, now)
             case ClaimResult():
@@ -391,10 +389,12 @@
             self._exchange.spread(gone, self._live)
             self._refresh_targets(now)
 
-    def mark_target(self, name: str, state: TargetState, now: float) -> None:
-        """Change the state of a backend server that this host stewards."""
-        self._exchange.spread([self._directory.mark(name, state)], self._live)
-        self._refresh_targets(now)
+    def _take_back(self, names: list[str], now: float) -> None:
+        """Take servers back that were gone, in cold start."""
+        if names:
+            records = [self._directory.mark(name, TargetState.COLD) for name in names]
+            self._exchange.spread(records, self._live)
+            self._refresh_targets(now)
 
     def _hand_over(self) -> None:
         for host, groups in self._router.replication.take_moved().items():
--- a/src/kingcuppulley/experiments/deployment.py
+++ b/src/kingcuppulley/experiments/deployment.py
@@ -181,7 +181,7 @@
         """Start, change one thing after another, and end."""
         began_at = time.monotonic()
         deployment = self._deployment
-        await deferToThread(self._start)
+        await deferToThread(deployment.bring_up, SERVICES, self._accepted)
         return_host, return_port = deployment.return_address
         self._reactor.listenUDP(return_port, self._packets, interface=return_host)
         self._packets.start()
@@ -206,18 +206,6 @@
         self._history.accounts = deployment.accounts()
         self._history.seconds = time.monotonic() - began_at
 
-    def _start(self) -> None:
-        deployment = self._deployment
-        deployment.start_system()
-        deployment.wait_until_control_votes()
-        for service in SERVICES:
-            answer = deployment.accept_service(service)
-            self._accepted(answer["key"], answer["version"])
-        for service in SERVICES:
-            for zone in service.target_zones:
-                deployment.start_target(service, zone)
-        deployment.wait_until_ready(SERVICES)
-
     async def _add_target(self) -> None:
         for service, zone in ((BOOKINGS, "zone-b"), (ORDER_DESK, "zone-b")):
             name = self._deployment.start_target(service, zone)
@@ -232,7 +220,7 @@
 
     async def _change_template(self) -> None:
         answer = await deferToThread(self._deployment.accept_service, DRAWING_STORE, 1)
-        self._accepted(answer["key"], answer["version"])
+        self._accepted(answer)
         await wait(self._reactor, 2)
 
     async def _move_zone(self) -> None:
@@ -244,7 +232,7 @@
             client = self._deployment.client("control-2")
             answer = await deferToThread(client.change, "/zones/zone-c", document)
             self._changed(kind, "zone-c")
-            self._accepted(answer["key"], answer["version"])
+            self._accepted(answer)
             await wait(self._reactor, 6)
 
     async def _overload(self) -> None:
@@ -286,14 +274,14 @@
         event = ChangeEvent(kind=kind, subject=subject, at=time.time())
         self._history.changes.append(event)
 
-    def _accepted(self, key: str, version: int) -> None:
+    def _accepted(self, answer: Any) -> None:
         self._history.changes.append(
             ChangeEvent(
                 kind=ChangeKind.TEMPLATE,
-                subject=key,
+                subject=answer["key"],
                 at=time.time(),
-                key=key,
-                version=version,
+                key=answer["key"],
+                version=answer["version"],
             )
         )
 
--- a/src/kingcuppulley/experiments/overload.py
+++ b/src/kingcuppulley/experiments/overload.py
@@ -52,7 +52,7 @@
         hosts = [deployment.entry_host(name) for name in deployment.entry_names]
         load = RequestLoad(reactor, [kind], lambda: hosts, random.Random(SEED))
         try:
-            await deferToThread(_start, deployment)
+            await deferToThread(deployment.bring_up, [SERVICE])
             load.start()
             await wait(reactor, WARM_UP_SECONDS + COUNTED_SECONDS)
             load.stop()
@@ -82,15 +82,6 @@
     ]
 
 
-def _start(deployment: Deployment) -> None:
-    deployment.start_system()
-    deployment.wait_until_control_votes()
-    deployment.accept_service(SERVICE)
-    for zone in SERVICE.target_zones:
-        deployment.start_target(SERVICE, zone)
-    deployment.wait_until_ready([SERVICE])
-
-
 def _answered_while_counted(events: list[RequestEvent]) -> int:
     began_at = min(event.asked_at for event in events) + WARM_UP_SECONDS
     return sum(
--- a/src/kingcuppulley/experiments/owner_loss.py
+++ b/src/kingcuppulley/experiments/owner_loss.py
@@ -58,7 +58,7 @@
         )
         host, port = deployment.return_address
         try:
-            await deferToThread(_start, deployment)
+            await deferToThread(deployment.bring_up, [SERVICE])
             listening = reactor.listenUDP(port, load, interface=host)
             load.start()
             await wait(reactor, 3.0)
@@ -76,15 +76,6 @@
         return _broken(deployment, len(load.reset_flows)) / FLOWS
 
 
-def _start(deployment: Deployment) -> None:
-    deployment.start_system()
-    deployment.wait_until_control_votes()
-    deployment.accept_service(SERVICE)
-    for zone in SERVICE.target_zones:
-        deployment.start_target(SERVICE, zone)
-    deployment.wait_until_ready([SERVICE])
-
-
 def _broken(deployment: Deployment, resets: int) -> int:
     seen: dict[int, int] = {}
     for account in deployment.accounts():
--- a/src/kingcuppulley/experiments/processes.py
+++ b/src/kingcuppulley/experiments/processes.py
@@ -11,6 +11,7 @@
 import sys
 import time
 import urllib.request
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -148,6 +149,21 @@
         for name in self.entry_names:
             self.start_entry(name)
 
+    def bring_up(
+        self,
+        services: list[ServicePlan],
+        on_accepted: Callable[[Any], None] = lambda _: None,
+    ) -> None:
+        """Start everything, tell of each acceptance at once, and wait until ready."""
+        self.start_system()
+        self.wait_until_control_votes()
+        for service in services:
+            on_accepted(self.accept_service(service))
+        for service in services:
+            for zone in service.target_zones:
+                self.start_target(service, zone)
+        self.wait_until_ready(services)
+
     def start_control(self, name: str) -> None:
         """Start a control host with the data folder that it has."""
         file = self._write_settings(name, self._control_settings(name))
--- a/src/kingcuppulley/fabric/replication.py
+++ b/src/kingcuppulley/fabric/replication.py
@@ -64,6 +64,12 @@
     def restart_walk(self) -> None:
         """Look at every flow again, because the choice or the owners changed."""
         self._walk = self._flows.flows()
+        # Flows end without a word to this class; what was copied of them ends here.
+        self._copied_to = {
+            flow: host
+            for flow, host in self._copied_to.items()
+            if self._flows.peek(flow) is not None
+        }
 
     def step(self) -> bool:
         """Look at the next flows of the walk and return whether it goes on."""
--- a/tests/nocover/test_processes.py
+++ b/tests/nocover/test_processes.py
@@ -38,12 +38,7 @@
     plan = Plan(zones=zones, entry_hosts=zones, writes_traces=True)
     deployment = Deployment(tmp_path_factory.mktemp("deployment"), plan)
     try:
-        deployment.start_system()
-        deployment.wait_until_control_votes()
-        deployment.accept_service(SERVICE)
-        for zone in SERVICE.target_zones:
-            deployment.start_target(SERVICE, zone)
-        deployment.wait_until_ready([SERVICE])
+        deployment.bring_up([SERVICE])
         yield deployment
     finally:
         deployment.end_all()
