--- /dev/null
+++ b/src/kingcuppulley/backend_servers/heartbeats.py
@@ -0,0 +1,186 @@
+"""Keep what backend servers say of themselves to one control host."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+SILENT_HEARTBEATS = 3.5
+FORGET_AFTER_SECONDS = 90.0
+
+
+class ServingState(StrEnum):
+    """Name what may be sent to a backend server."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+    SILENT = "silent"
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """Hold one heartbeat of a backend server.
+
+    Attributes
+    ----------
+    born : int
+        Milliseconds of the server's start; orders the lives of one name.
+    sequence : int
+        Grows with each heartbeat of one life.
+    cold_seconds : float
+        How much longer the server says that it is cold.
+    identity : bytes
+        Names this server in a packet that is meant for it alone.
+    """
+
+    name: str
+    identity: bytes
+    service: str
+    zone: str
+    host: str
+    port: int
+    state: ServingState
+    born: int
+    sequence: int
+    slots: int
+    cold_seconds: float
+
+
+class HeardTarget(msgspec.Struct, frozen=True, array_like=True):
+    """Describe a backend server as one control host heard it.
+
+    `cold_seconds` counts from the moment when this was sent.
+    """
+
+    name: str
+    identity: bytes
+    service: str
+    zone: str
+    host: str
+    port: int
+    state: ServingState
+    born: int
+    sequence: int
+    slots: int
+    cold_seconds: float
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what orders two descriptions of one backend server."""
+        return (self.born, self.sequence)
+
+
+class _Entry:
+    """Hold the last heartbeat of one backend server."""
+
+    __slots__ = ("heartbeat", "state", "heard_at", "cold_deadline", "change")
+
+    def __init__(self, heartbeat: Heartbeat, now: float, change: int) -> None:
+        self.heartbeat = heartbeat
+        self.state = heartbeat.state
+        self.heard_at = now
+        self.cold_deadline = now + heartbeat.cold_seconds
+        self.change = change
+
+
+class HeartbeatLedger:
+    """Remember heartbeats and number their changes, for hosts that follow."""
+
+    def __init__(self, heartbeat_seconds: float) -> None:
+        self._silent_seconds = SILENT_HEARTBEATS * heartbeat_seconds
+        self._entries: dict[str, _Entry] = {}
+        self._change = 0
+
+    @property
+    def change(self) -> int:
+        """Return the number of the last change."""
+        return self._change
+
+    def hear(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat and return whether it is news to hosts that follow."""
+        entry = self._entries.get(heartbeat.name)
+        if entry is not None and not _is_newer(heartbeat, entry):
+            return False
+        is_news = entry is None or _is_news(heartbeat, entry)
+        self._change += is_news
+        number = self._change if entry is None or is_news else entry.change
+        self._entries[heartbeat.name] = _Entry(heartbeat, now, number)
+        return is_news
+
+    def leave(self, name: str, now: float) -> bool:
+        """Take a backend server's leave and return whether it is news."""
+        entry = self._entries.get(name)
+        if entry is None or entry.state is ServingState.GONE:
+            return False
+        self._set_state(entry, ServingState.GONE)
+        entry.heard_at = now
+        return True
+
+    def knows(self, name: str) -> bool:
+        """Return whether a backend server was heard here."""
+        return name in self._entries
+
+    def tick(self, now: float) -> bool:
+        """Mark servers that fell silent and return whether there is news."""
+        before = self._change
+        for name, entry in list(self._entries.items()):
+            silence = now - entry.heard_at
+            if silence > FORGET_AFTER_SECONDS:
+                del self._entries[name]
+            elif silence > self._silent_seconds and entry.state in (
+                ServingState.READY,
+                ServingState.DRAINING,
+            ):
+                self._set_state(entry, ServingState.SILENT)
+        return self._change > before
+
+    def changes_since(self, change: int, now: float) -> list[HeardTarget]:
+        """Return every backend server that changed after a number."""
+        return [
+            _described(entry, now)
+            for entry in self._entries.values()
+            if entry.change > change
+        ]
+
+    def _set_state(self, entry: _Entry, state: ServingState) -> None:
+        self._change += 1
+        entry.change = self._change
+        entry.state = state
+
+
+def _is_newer(heartbeat: Heartbeat, entry: _Entry) -> bool:
+    held = entry.heartbeat
+    if heartbeat.born != held.born:
+        return heartbeat.born > held.born
+    return heartbeat.sequence > held.sequence and entry.state is not ServingState.GONE
+
+
+def _is_news(heartbeat: Heartbeat, entry: _Entry) -> bool:
+    held = entry.heartbeat
+    if heartbeat.state is not entry.state or heartbeat.born != held.born:
+        return True
+    if (heartbeat.host, heartbeat.port) != (held.host, held.port):
+        return True
+    if heartbeat.cold_seconds > 0 or held.cold_seconds > 0:
+        return True
+    # A gap says that the server called another control host meanwhile, whose older
+    # word must not outlive this one.
+    return heartbeat.sequence != held.sequence + 1
+
+
+def _described(entry: _Entry, now: float) -> HeardTarget:
+    held = entry.heartbeat
+    return HeardTarget(
+        held.name,
+        held.identity,
+        held.service,
+        held.zone,
+        held.host,
+        held.port,
+        entry.state,
+        held.born,
+        held.sequence,
+        held.slots,
+        max(0.0, entry.cold_deadline - now),
+    )
--- /dev/null
+++ b/src/kingcuppulley/backend_servers/roster.py
@@ -0,0 +1,184 @@
+"""Merge what control hosts heard of backend servers into one list on an entry host."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from kingcuppulley.backend_servers.heartbeats import HeardTarget, ServingState
+from kingcuppulley.internal.rendezvous import hash_name
+
+ORPHAN_SECONDS = 4.0
+
+
+class RosterTarget:
+    """Hold one life of a backend server.
+
+    Attributes
+    ----------
+    identity : bytes
+        What a packet names, so that a server which took over an address ignores it.
+    cookie : int
+        The mark that packets of this server's flows carry.
+    """
+
+    __slots__ = (
+        "name",
+        "service",
+        "zone",
+        "endpoint",
+        "slots",
+        "state",
+        "born",
+        "cold_deadline",
+        "identity",
+        "cookie",
+    )
+
+    def __init__(self, heard: HeardTarget) -> None:
+        self.name = heard.name
+        self.service = heard.service
+        self.zone = heard.zone
+        self.endpoint = (heard.host, heard.port)
+        self.slots = heard.slots
+        self.state = heard.state
+        self.born = heard.born
+        self.cold_deadline = 0.0
+        self.identity = heard.identity
+        self.cookie = cookie_of(heard.name, heard.born)
+
+    @property
+    def takes_new_flows(self) -> bool:
+        """Return whether the server may be given new flows."""
+        return self.state is ServingState.READY
+
+
+def cookie_of(name: str, born: int) -> int:
+    """Return the mark, never 0, that every host derives alike for a server's life."""
+    return (hash_name(f"{name}/{born}") & 0xFFFFFFFF) or 1
+
+
+class _Source:
+    """Hold what one control host said in its present life."""
+
+    __slots__ = ("instance", "change", "heard")
+
+    def __init__(self, instance: str) -> None:
+        self.instance = instance
+        self.change = 0
+        self.heard: dict[str, HeardTarget] = {}
+
+
+class Roster:
+    """Keep the backend servers that one entry host may use.
+
+    Each control host tells only what it heard itself; the newest word wins.  What was
+    heard in an earlier life of a control host holds until the servers had time to
+    announce themselves again.
+    """
+
+    def __init__(self) -> None:
+        self._sources: dict[str, _Source] = {}
+        self._orphans: list[tuple[float, dict[str, HeardTarget]]] = []
+        self._targets: dict[str, RosterTarget] = {}
+        self._by_cookie: dict[int, RosterTarget] = {}
+        self._by_service: dict[str, list[RosterTarget]] = {}
+
+    @property
+    def targets(self) -> Iterable[RosterTarget]:
+        """Return every server that is known."""
+        return self._targets.values()
+
+    def of_service(self, service: str) -> list[RosterTarget]:
+        """Return the known servers of a service."""
+        return self._by_service.get(service, [])
+
+    def by_cookie(self, cookie: int) -> RosterTarget | None:
+        """Return the server whose flows carry a mark."""
+        return self._by_cookie.get(cookie)
+
+    def position(self, host: str) -> tuple[str, int]:
+        """Return the life of a control host and its last change that are known."""
+        source = self._sources.get(host)
+        return (source.instance, source.change) if source else ("", 0)
+
+    def update(
+        self,
+        host: str,
+        instance: str,
+        change: int,
+        heard: list[HeardTarget],
+        now: float,
+    ) -> list[RosterTarget]:
+        """Take what a control host tells and return the servers that changed."""
+        source = self._sources.get(host)
+        if source is None or source.instance != instance:
+            if source is not None:
+                self._orphans.append((now + ORPHAN_SECONDS, source.heard))
+            source = self._sources[host] = _Source(instance)
+        changed = []
+        source.change = max(source.change, change)
+        for each in heard:
+            source.heard[each.name] = each
+            target = self._merge(each.name, now)
+            if target is not None:
+                changed.append(target)
+        return changed
+
+    def tick(self, now: float) -> list[RosterTarget]:
+        """Drop what only an earlier life of a control host has said."""
+        changed = []
+        while self._orphans and now >= self._orphans[0][0]:
+            _, heard = self._orphans.pop(0)
+            for name in heard:
+                target = self._merge(name, now)
+                if target is not None:
+                    changed.append(target)
+        return changed
+
+    def _merge(self, name: str, now: float) -> RosterTarget | None:
+        told = [
+            source.heard[name]
+            for source in self._sources.values()
+            if name in source.heard
+        ]
+        told += [heard[name] for _, heard in self._orphans if name in heard]
+        target = self._targets.get(name)
+        if not told:
+            if target is not None:
+                target.state = ServingState.SILENT
+            return target
+        newest = max(told, key=_freshness)
+        if target is None or target.born != newest.born:
+            return self._add(newest, now)
+        if any(each.state is ServingState.GONE for each in told):
+            gone = max(each.born for each in told if each.state is ServingState.GONE)
+            if gone == newest.born:
+                newest = next(
+                    each
+                    for each in told
+                    if each.born == gone and each.state is ServingState.GONE
+                )
+        changed = target.state is not newest.state
+        target.state = newest.state
+        target.slots = newest.slots
+        target.endpoint = (newest.host, newest.port)
+        target.cold_deadline = now + newest.cold_seconds if newest.cold_seconds else 0.0
+        return target if changed else None
+
+    def _add(self, heard: HeardTarget, now: float) -> RosterTarget:
+        target = RosterTarget(heard)
+        if heard.cold_seconds:
+            target.cold_deadline = now + heard.cold_seconds
+        earlier = self._targets.get(heard.name)
+        self._targets[heard.name] = target
+        if earlier is not None:
+            self._by_cookie.pop(earlier.cookie, None)
+            self._by_service[earlier.service].remove(earlier)
+        # Of two servers with an equal mark the first keeps it.
+        self._by_cookie.setdefault(target.cookie, target)
+        self._by_service.setdefault(target.service, []).append(target)
+        return target
+
+
+def _freshness(heard: HeardTarget) -> tuple[int, int]:
+    return heard.order
--- /dev/null
+++ b/src/kingcuppulley/control/disk_thread.py
@@ -0,0 +1,54 @@
+"""Write votes on a thread of their own, because a disk may take seconds."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+from kingcuppulley.control.state import Vote
+from kingcuppulley.control.vote_store import VoteStore
+from kingcuppulley.errors import StorageError
+
+
+class MainThread(Protocol):
+    """Call a function on the reactor's thread."""
+
+    def callFromThread(self, function: Callable[..., None], *args: object) -> None:  # noqa: N802
+        """Call a function soon."""
+
+
+class DiskThread:
+    """Own the disk; one write is under way at a time."""
+
+    def __init__(self, store: VoteStore, reactor: MainThread) -> None:
+        self._store = store
+        self._reactor = reactor
+        self._votes: queue.SimpleQueue[Vote] = queue.SimpleQueue()
+        self.on_written: Callable[[StorageError | None], None] = _ignore
+
+    def start(self) -> None:
+        """Begin to take votes."""
+        threading.Thread(target=self._run, name="disk", daemon=True).start()
+
+    def write(self, vote: Vote) -> None:
+        """Write a vote and tell `on_written` how it ended."""
+        self._votes.put(vote)
+
+    def _run(self) -> None:
+        while True:
+            vote = self._votes.get()
+            failure: StorageError | None = None
+            try:
+                self._store.write(vote)
+            except StorageError as error:
+                failure = error
+            self._reactor.callFromThread(self._tell, failure)
+
+    def _tell(self, failure: StorageError | None) -> None:
+        self.on_written(failure)
+
+
+def _ignore(_: StorageError | None) -> None:
+    """Take the end of a write that nobody waits for."""
--- /dev/null
+++ b/src/kingcuppulley/control/ensemble_messages.py
@@ -0,0 +1,68 @@
+"""Define the messages by which control hosts agree on the routing state."""
+
+from __future__ import annotations
+
+import msgspec
+
+from kingcuppulley.control.registers import Ballot
+from kingcuppulley.control.state import RoutingState
+
+
+class PrepareState(msgspec.Struct, frozen=True, array_like=True, tag="sp"):
+    """Ask for a promise; a state accepted under `known` need not be sent back."""
+
+    ballot: Ballot
+    known: Ballot
+
+
+class StatePromise(msgspec.Struct, frozen=True, array_like=True, tag="sq"):
+    """Promise a ballot, or refuse it and name the one that stands in its way.
+
+    `state` is None where the proposer knows what was accepted.
+    """
+
+    store: str
+    ballot: Ballot
+    granted: bool
+    standing: Ballot
+    accepted: Ballot
+    state: RoutingState | None
+
+
+class AcceptState(msgspec.Struct, frozen=True, array_like=True, tag="sa"):
+    """Ask to accept a state."""
+
+    ballot: Ballot
+    state: RoutingState
+
+
+class StateAccepted(msgspec.Struct, frozen=True, array_like=True, tag="sb"):
+    """Accept a state durably, or refuse it."""
+
+    store: str
+    ballot: Ballot
+    granted: bool
+    standing: Ballot
+
+
+class AskState(msgspec.Struct, frozen=True, array_like=True, tag="sr"):
+    """Ask what a voter has accepted, for a read that must be certain."""
+
+    number: int
+    known: Ballot
+
+
+class StateAnswer(msgspec.Struct, frozen=True, array_like=True, tag="ss"):
+    """Tell what a voter has accepted durably."""
+
+    store: str
+    number: int
+    accepted: Ballot
+    state: RoutingState | None
+
+
+EnsembleMessage = (
+    PrepareState | StatePromise | AcceptState | StateAccepted | AskState | StateAnswer
+)
+EnsembleRequest = PrepareState | AcceptState | AskState
+EnsembleReply = StatePromise | StateAccepted | StateAnswer
--- /dev/null
+++ b/src/kingcuppulley/control/vote_store.py
@@ -0,0 +1,117 @@
+"""Keep one control host's vote durable through crashes and losses of power."""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+
+from kingcuppulley.control.state import Vote
+from kingcuppulley.errors import StorageError
+
+_HEADER = struct.Struct("!QII")
+_SLOTS = ("vote-0", "vote-1")
+
+
+class VoteStore(Protocol):
+    """Keep a vote durably."""
+
+    def read(self) -> Vote | None:
+        """Return the last vote that was written whole, or None on an empty disk."""
+
+    def write(self, vote: Vote) -> None:
+        """Return once a vote is durable, or raise `StorageError`."""
+
+
+class FileVoteStore:
+    """Write votes by turns to two files, so that a torn one leaves the other.
+
+    A failed write is repeated to the same file: the other one holds the last vote
+    that was told to anyone.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._descriptors: dict[int, int] = {}
+        self._generation = 0
+
+    def read(self) -> Vote | None:
+        """Return the newest whole vote, or None if there is none."""
+        newest: Vote | None = None
+        for slot in range(len(_SLOTS)):
+            generation, vote = self._read_slot(slot)
+            if vote is not None and generation > self._generation:
+                self._generation = generation
+                newest = vote
+        return newest
+
+    def write(self, vote: Vote) -> None:
+        """Write and sync a vote, or raise `StorageError` and keep the last one."""
+        generation = self._generation + 1
+        slot = generation % len(_SLOTS)
+        payload = msgspec.msgpack.encode(vote)
+        head = _HEADER.pack(generation, len(payload), _checksum(generation, payload))
+        try:
+            descriptor = self._open(slot)
+            _write_all(descriptor, head + payload)
+            os.fsync(descriptor)
+        except OSError as error:
+            self._close(slot)
+            reason = error.strerror or "the write failed"
+            raise StorageError(str(self._folder / _SLOTS[slot]), reason) from error
+        self._generation = generation
+
+    def _read_slot(self, slot: int) -> tuple[int, Vote | None]:
+        try:
+            data = (self._folder / _SLOTS[slot]).read_bytes()
+        except FileNotFoundError:
+            return 0, None
+        except OSError as error:
+            raise StorageError(str(self._folder), error.strerror or "failed") from error
+        if len(data) < _HEADER.size:
+            return 0, None
+        generation, length, checksum = _HEADER.unpack_from(data)
+        payload = data[_HEADER.size : _HEADER.size + length]
+        if len(payload) != length or _checksum(generation, payload) != checksum:
+            return 0, None
+        return generation, msgspec.msgpack.decode(payload, type=Vote)
+
+    def _open(self, slot: int) -> int:
+        descriptor = self._descriptors.get(slot)
+        if descriptor is None:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            path = self._folder / _SLOTS[slot]
+            descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+            self._descriptors[slot] = descriptor
+            self._sync_folder()
+        return descriptor
+
+    def _close(self, slot: int) -> None:
+        # After a failed sync the kernel may call lost pages clean, so the file is
+        # opened anew before it is trusted again.
+        descriptor = self._descriptors.pop(slot, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def _checksum(generation: int, payload: bytes) -> int:
+    return zlib.crc32(payload, generation & 0xFFFFFFFF)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    offset = 0
+    while offset < len(view):
+        written = os.pwrite(descriptor, view[offset:], offset)
+        offset += written
--- /dev/null
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -0,0 +1,316 @@
+"""Follow control hosts and carry flows on one entry host."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from kingcuppulley.backend_servers.roster import Roster, RosterTarget
+from kingcuppulley.control.ensemble_host import ChosenState, FetchState
+from kingcuppulley.control.state import RoutingState
+from kingcuppulley.entry_hosts.seeded_messages import (
+    ControlNews,
+    EntryHostInfo,
+    FlowEnded,
+    FlowTaken,
+    FollowControl,
+    LoadReport,
+    PlaceFlow,
+)
+from kingcuppulley.entry_hosts.stewards import Stewards
+from kingcuppulley.fabric.cookie_router import CookiePort, CookieRouter
+from kingcuppulley.fabric.formats import PacketFormat
+from kingcuppulley.fabric.placement import Placement
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.operators.routing import RoutingConfiguration, RoutingTable
+
+FOLLOW_SECONDS = 0.25
+REPORT_SECONDS = 0.1
+FETCH_AGAIN_SECONDS = 0.15
+SOURCE_SILENT_SECONDS = 1.0
+FORGET_SOURCE_SECONDS = 30.0
+COLD_SLACK_SECONDS = 0.5
+
+
+class EntryLog(Protocol):
+    """Record what changes this host's beliefs, and decisions about flows."""
+
+    def event(self, kind: str, **fields: object) -> None:
+        """Record one event."""
+
+    def always(self, kind: str, **fields: object) -> None:
+        """Record one event whatever the budget."""
+
+
+class FlowLog:
+    """Record decisions about flows as events."""
+
+    def __init__(self, log: EntryLog, table: RoutingTable) -> None:
+        self._log = log
+        self._table = table
+
+    def decided(
+        self, flow: bytes, what: str, reason: str, target: RosterTarget | None
+    ) -> None:
+        """Record what became of a flow's packet and why."""
+        self._log.event(
+            "flow",
+            flow=flow.hex(),
+            outcome=what,
+            reason=reason,
+            server=target.name if target is not None else None,
+            version=self._table.version,
+        )
+
+
+class _Source:
+    """Remember when a control host was heard."""
+
+    __slots__ = ("heard_at", "hosts", "hosts_digest", "is_lost")
+
+    def __init__(self) -> None:
+        self.heard_at = float("-inf")
+        self.hosts: list[EntryHostInfo] = []
+        self.hosts_digest = 0
+        self.is_lost = True
+
+
+class EntryNode:
+    """Keep what one entry host knows, and route by it."""
+
+    def __init__(
+        self,
+        address: str,
+        zone: str,
+        seeds: list[str],
+        packets: PacketFormat,
+        decode: Callable[[bytes], RoutingConfiguration],
+        port: CookiePort,
+        send: Callable[[str, object], None],
+        metrics: Metrics,
+        log: EntryLog,
+        generator: Random,
+    ) -> None:
+        self._address = address
+        self._zone = zone
+        self._seeds = seeds
+        self._decode = decode
+        self._send = send
+        self._metrics = metrics
+        self._log = log
+        self._sources: dict[str, _Source] = {}
+        self._revision = -1
+        self._zones_out: frozenset[str] = frozenset()
+        self._fetch_deadline = 0.0
+        self._follow_deadline = 0.0
+        self._report_deadline = 0.0
+        self._is_leaving = False
+        self._now = 0.0
+        self._table = RoutingTable()
+        self._roster = Roster()
+        self._stewards = Stewards(address, zone)
+        self._placement = Placement(
+            zone, self._roster, generator, lambda *held: self._router.released(*held)
+        )
+        self._placement.use_cold_rule(self._may_place_cold)
+        self._router = CookieRouter(
+            address,
+            zone,
+            packets,
+            port,
+            self._table,
+            self._roster,
+            self._stewards,
+            self._placement,
+            metrics,
+            FlowLog(log, self._table),
+        )
+
+    @property
+    def router(self) -> CookieRouter:
+        """Return what routes packets."""
+        return self._router
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers' packets should come here."""
+        return self._router.is_ready and not self._is_leaving
+
+    @property
+    def version(self) -> int:
+        """Return the configuration's version in force."""
+        return self._table.version
+
+    def use_seeds(self, seeds: list[str]) -> None:
+        """Take the control hosts that the settings name now."""
+        self._seeds = seeds
+
+    def leave(self, now: float) -> None:
+        """Tell the others that this host stops soon."""
+        self._is_leaving = True
+        self._follow(now)
+
+    def receive(self, address: str, message: object, now: float) -> None:
+        """Take one message of another process."""
+        self._now = now
+        match message:
+            case PlaceFlow():
+                self._router.place_for_host(address, message, now)
+            case FlowTaken():
+                self._router.flow_taken(message)
+            case FlowEnded():
+                self._router.flow_ended(message, now)
+            case LoadReport():
+                self._stewards.take_report(message.zone, now)
+                self._placement.take_report(address, message.loads, now)
+            case ControlNews():
+                self._take_news(message, now)
+            case ChosenState():
+                self._take_state(message.state, now)
+            case _:
+                self._metrics.count("peer_messages_unexpected")
+
+    def tick(self, now: float) -> None:
+        """Act on every deadline that has passed."""
+        self._now = now
+        self._router.tick(now)
+        if now >= self._follow_deadline:
+            self._follow_deadline = now + FOLLOW_SECONDS
+            self._follow(now)
+            self._note_lost(now)
+            self._changed(self._roster.tick(now))
+        if now >= self._report_deadline:
+            self._report_deadline = now + REPORT_SECONDS
+            self._report(now)
+
+    def _follow(self, now: float) -> None:
+        for host in {*self._seeds, *self._sources}:
+            instance, change = self._roster.position(host)
+            source = self._sources.get(host)
+            digest = source.hosts_digest if source is not None else 0
+            follow = FollowControl(
+                self._address,
+                self._zone,
+                self._router.is_ready,
+                self._is_leaving,
+                instance,
+                change,
+                digest,
+            )
+            self._send(host, follow)
+
+    def _note_lost(self, now: float) -> None:
+        for host, source in list(self._sources.items()):
+            silence = now - source.heard_at
+            if silence > FORGET_SOURCE_SECONDS and host not in self._seeds:
+                del self._sources[host]
+            elif silence > SOURCE_SILENT_SECONDS and not source.is_lost:
+                source.is_lost = True
+                self._log.always("control host lost", control=host)
+
+    def _take_news(self, news: ControlNews, now: float) -> None:
+        source = self._sources.get(news.host)
+        if source is None:
+            source = self._sources[news.host] = _Source()
+        if source.is_lost:
+            source.is_lost = False
+            self._log.always("control host heard", control=news.host)
+        source.heard_at = now
+        for host in news.control_hosts:
+            if host not in self._sources:
+                self._sources[host] = _Source()
+        changed = self._roster.update(
+            news.host, news.instance, news.change, news.targets, now
+        )
+        self._changed(changed)
+        if news.entry_hosts is not None:
+            source.hosts = news.entry_hosts
+            source.hosts_digest = news.hosts_digest
+        self._list_hosts(now)
+        if news.revision > self._revision and now >= self._fetch_deadline:
+            self._fetch_deadline = now + FETCH_AGAIN_SECONDS
+            self._send(news.host, FetchState(self._revision))
+        self._judge_ready()
+
+    def _list_hosts(self, now: float) -> None:
+        hosts = {
+            info.address: info
+            for source in self._sources.values()
+            if now - source.heard_at < SOURCE_SILENT_SECONDS
+            for info in source.hosts
+        }
+        self._stewards.update(list(hosts.values()))
+
+    def _changed(self, targets: list[RosterTarget]) -> None:
+        for target in targets:
+            self._log.event(
+                "backend server",
+                server=target.name,
+                service=target.service,
+                zone=target.zone,
+                state=target.state.value,
+                born=target.born,
+            )
+
+    def _take_state(self, state: RoutingState, now: float) -> None:
+        if state.revision <= self._revision:
+            return
+        self._revision = state.revision
+        if state.configuration and state.configuration_version > self._table.version:
+            self._table.update(self._decode(zlib.decompress(state.configuration)))
+        zones_out = frozenset(state.zones_out)
+        self._cool(self._zones_out - zones_out, now)
+        self._zones_out = zones_out
+        self._use_zones(now)
+        self._log.always(
+            "state in force",
+            revision=state.revision,
+            version=self._table.version,
+            zones_out=sorted(zones_out),
+        )
+        self._judge_ready()
+
+    def _cool(self, zones: frozenset[str], now: float) -> None:
+        """Treat servers of zones that are back as cold, whatever they last said."""
+        for target in self._roster.targets:
+            if target.zone in zones:
+                service = self._table.service(target.service)
+                seconds = service.cold_seconds if service is not None else 0.0
+                deadline = now + seconds + COLD_SLACK_SECONDS
+                target.cold_deadline = max(target.cold_deadline, deadline)
+
+    def _use_zones(self, now: float) -> None:
+        self._placement.use_zones(self._zones_out, self._stewards.unreached_zones(now))
+
+    def _judge_ready(self) -> None:
+        if self._router.is_ready or not self._table.version:
+            return
+        if any(target.takes_new_flows for target in self._roster.targets):
+            self._router.is_ready = True
+            self._log.always("ready", version=self._table.version)
+            self._follow_deadline = self._now
+
+    def _may_place_cold(self, target: RosterTarget) -> bool:
+        steward = self._stewards.steward(target.zone, target.service, self._now)
+        return steward == self._address
+
+    def _report(self, now: float) -> None:
+        self._use_zones(now)
+        loads = self._placement.report()
+        services = self._table.service_names()
+        is_steward = any(
+            self._stewards.steward(self._zone, service, now) == self._address
+            for service in services
+        )
+        if not loads and not is_steward:
+            return
+        readers = {
+            self._stewards.steward(zone, service, now)
+            for zone in {*self._stewards.other_zones(), self._zone}
+            for service in services
+        }
+        report = LoadReport(self._zone, loads)
+        for reader in sorted(readers - {None, self._address}):
+            self._send(reader, report)
--- /dev/null
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -0,0 +1,77 @@
+"""Define the messages between entry hosts, and with the control hosts they follow."""
+
+from __future__ import annotations
+
+import msgspec
+
+from kingcuppulley.backend_servers.heartbeats import HeardTarget
+
+
+class EntryHostInfo(msgspec.Struct, frozen=True, array_like=True):
+    """Name an entry host that carries traffic."""
+
+    address: str
+    zone: str
+    is_leaving: bool
+
+
+class FollowControl(msgspec.Struct, frozen=True, array_like=True, tag="fc"):
+    """Ask a control host for what is news since a change of its present life."""
+
+    address: str
+    zone: str
+    is_ready: bool
+    is_leaving: bool
+    instance: str
+    change: int
+    hosts_digest: int
+
+
+class ControlNews(msgspec.Struct, frozen=True, array_like=True, tag="cn"):
+    """Tell what is news to an entry host.
+
+    `since` is the change that the list of targets begins after; `entry_hosts` is None
+    where the entry host knows it already.  `revision` is that of the routing state.
+    """
+
+    host: str
+    instance: str
+    since: int
+    change: int
+    targets: list[HeardTarget]
+    entry_hosts: list[EntryHostInfo] | None
+    hosts_digest: int
+    control_hosts: list[str]
+    revision: int
+
+
+class PlaceFlow(msgspec.Struct, frozen=True, array_like=True, tag="pf"):
+    """Ask a steward to choose a server for a new flow and send its packet there."""
+
+    flow: bytes
+    service: str
+    copy: int
+    priority: int
+    packet: bytes
+
+
+class FlowTaken(msgspec.Struct, frozen=True, array_like=True, tag="ft"):
+    """Say that a steward has taken a new flow."""
+
+    flow: bytes
+
+
+class FlowEnded(msgspec.Struct, frozen=True, array_like=True, tag="fe"):
+    """Say that a flow's caller has ended it."""
+
+    flow: bytes
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="lr"):
+    """Tell the open flows that a host placed, by the servers' marks."""
+
+    zone: str
+    loads: list[tuple[int, int]]
+
+
+EntryMessage = PlaceFlow | FlowTaken | FlowEnded | LoadReport
--- /dev/null
+++ b/src/kingcuppulley/entry_hosts/stewards.py
@@ -0,0 +1,71 @@
+"""Choose which entry host of a zone places the flows of a service."""
+
+from __future__ import annotations
+
+from kingcuppulley.entry_hosts.seeded_messages import EntryHostInfo
+from kingcuppulley.internal.rendezvous import rank_names
+
+SUSPECT_SECONDS = 1.0
+ZONE_SILENT_SECONDS = 0.7
+
+
+class Stewards:
+    """Know the entry hosts, and rank those of each zone for each service.
+
+    Hosts may differ in their view for a moment; then two of them place flows of one
+    service, and each counts the other's by its reports.
+    """
+
+    def __init__(self, address: str, zone: str) -> None:
+        self._address = address
+        self._zone = zone
+        self._hosts: dict[str, EntryHostInfo] = {}
+        self._suspects: dict[str, float] = {}
+        self._reported_at: dict[str, float] = {}
+        self._ranks: dict[tuple[str, str], list[str]] = {}
+
+    def update(self, hosts: list[EntryHostInfo]) -> None:
+        """Take the entry hosts that control hosts have heard of."""
+        fresh = {host.address: host for host in hosts}
+        if fresh != self._hosts:
+            self._hosts = fresh
+            self._ranks.clear()
+
+    def suspect(self, address: str, now: float) -> None:
+        """Pass over a host that did not answer."""
+        self._suspects[address] = now + SUSPECT_SECONDS
+
+    def steward(self, zone: str, service: str, now: float) -> str | None:
+        """Return the host that places a service's flows in a zone, if any does."""
+        for address in self._ranked(zone, service):
+            if now >= self._suspects.get(address, 0.0):
+                return address
+        return None
+
+    def take_report(self, zone: str, now: float) -> None:
+        """Note that a zone was heard."""
+        self._reported_at[zone] = now
+
+    def other_zones(self) -> set[str]:
+        """Return the other zones that have entry hosts."""
+        return {host.zone for host in self._hosts.values()} - {self._zone}
+
+    def unreached_zones(self, now: float) -> frozenset[str]:
+        """Return the zones whose hosts were heard before and are silent now."""
+        return frozenset(
+            zone
+            for zone, reported_at in self._reported_at.items()
+            if zone != self._zone and now - reported_at > ZONE_SILENT_SECONDS
+        )
+
+    def _ranked(self, zone: str, service: str) -> list[str]:
+        key = (zone, service)
+        ranked = self._ranks.get(key)
+        if ranked is None:
+            names = [
+                host.address
+                for host in self._hosts.values()
+                if host.zone == zone and not host.is_leaving
+            ]
+            ranked = self._ranks[key] = list(rank_names(service, names))
+        return ranked
--- a/src/kingcuppulley/errors.py
+++ b/src/kingcuppulley/errors.py
@@ -89,3 +89,19 @@
             f"{key}: no majority of control hosts answered, so whether the change is "
             "accepted is unknown; send it again with the same change identifier"
         )
+
+
+class InvalidConfigurationError(KingcuppulleyError):
+    """Report a routing configuration that cannot be put in force."""
+
+    def __init__(self, place: str, remedy: str) -> None:
+        self.place = place
+        self.remedy = remedy
+        super().__init__(f"{place}: {remedy}")
+
+
+class InvalidHeartbeatError(KingcuppulleyError):
+    """Report a heartbeat that names no usable backend server."""
+
+    def __init__(self, place: str, remedy: str) -> None:
+        super().__init__(f"{place}: {remedy}")
--- /dev/null
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -0,0 +1,217 @@
+"""Route packets whose flows carry a mark of their target."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Protocol
+
+from kingcuppulley.backend_servers.heartbeats import ServingState
+from kingcuppulley.backend_servers.roster import Roster, RosterTarget
+from kingcuppulley.entry_hosts.seeded_messages import (
+    FlowEnded,
+    FlowTaken,
+    PlaceFlow,
+)
+from kingcuppulley.entry_hosts.stewards import Stewards
+from kingcuppulley.errors import MalformedPacketError
+from kingcuppulley.fabric.formats import FlowPacket, PacketFormat
+from kingcuppulley.fabric.placement import Decision, FlowRequest, Outcome, Placement
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.operators.routing import RoutingTable
+
+STEWARD_ANSWER_SECONDS = 0.04
+FLOW_NOTE_SECONDS = 4.0
+
+
+class CookiePort(Protocol):
+    """Send what the router decides; a task owns the sockets behind it."""
+
+    def send_to_target(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
+        """Send a datagram to a backend server."""
+
+    def send_to_caller(self, packet: bytes, address: str) -> None:
+        """Send a packet to a caller."""
+
+    def send_to_host(self, address: str, message: PlaceFlow | FlowTaken | FlowEnded) -> None:
+        """Send a message to another entry host."""
+
+
+class DecisionLog(Protocol):
+    """Record decisions that touch a flow."""
+
+    def decided(
+        self, flow: bytes, what: str, reason: str, target: RosterTarget | None
+    ) -> None:
+        """Record what became of a flow's packet and why."""
+
+
+class _Awaited:
+    """Hold a new flow until its steward says that it has taken it."""
+
+    __slots__ = ("request", "steward", "deadline")
+
+    def __init__(self, request: FlowRequest, steward: str, deadline: float) -> None:
+        self.request = request
+        self.steward = steward
+        self.deadline = deadline
+
+
+class CookieRouter:
+    """Route packets of callers on one entry host.
+
+    A new flow is placed by the steward of its service, which counts the flows of the
+    whole zone.  All later packets name their target by its mark, so that any host can
+    carry them without knowing the flow.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        zone: str,
+        packets: PacketFormat,
+        port: CookiePort,
+        table: RoutingTable,
+        roster: Roster,
+        stewards: Stewards,
+        placement: Placement,
+        metrics: Metrics,
+        log: DecisionLog,
+    ) -> None:
+        self._address = address
+        self._zone = zone
+        self._packets = packets
+        self._port = port
+        self._table = table
+        self._roster = roster
+        self._stewards = stewards
+        self._placement = placement
+        self._counts = metrics.counts
+        self._log = log
+        self._awaited: OrderedDict[bytes, _Awaited] = OrderedDict()
+        self._placers: OrderedDict[bytes, tuple[str, float]] = OrderedDict()
+        self.is_ready = False
+
+    def packet_from_fabric(self, packet: bytes, now: float) -> None:
+        """Route one packet of a caller."""
+        try:
+            head = self._packets.read(packet)
+        except MalformedPacketError:
+            self._counts["packets_malformed"] += 1
+            return
+        if head.opens:
+            self._open(packet, head, now)
+        else:
+            self._carry(packet, head, now)
+
+    def place_for_host(self, host: str, asked: PlaceFlow, now: float) -> None:
+        """Place a new flow that another host of the zone took."""
+        self._port.send_to_host(host, FlowTaken(asked.flow))
+        request = FlowRequest(
+            asked.flow, asked.service, asked.copy, asked.packet, asked.priority
+        )
+        self._place(request, now)
+
+    def flow_taken(self, taken: FlowTaken) -> None:
+        """Stop waiting for a steward's answer."""
+        self._awaited.pop(taken.flow, None)
+
+    def flow_ended(self, ended: FlowEnded, now: float) -> None:
+        """Take the end of a flow that was placed here."""
+        self._placement.end_flow(ended.flow, now)
+
+    def released(self, request: FlowRequest, decision: Decision) -> None:
+        """Send a flow that was held, or refuse it."""
+        self._carry_out(request, decision)
+
+    def tick(self, now: float) -> None:
+        """Place what a steward did not answer for, and forget old notes."""
+        while self._awaited:
+            awaited = next(iter(self._awaited.values()))
+            if now < awaited.deadline:
+                break
+            self._awaited.popitem(last=False)
+            self._counts["stewards_missed"] += 1
+            self._stewards.suspect(awaited.steward, now)
+            self._placers[awaited.request.flow] = (self._address, now)
+            self._place(awaited.request, now)
+        while self._placers:
+            flow, (_, noted_at) = next(iter(self._placers.items()))
+            if now - noted_at < FLOW_NOTE_SECONDS:
+                break
+            del self._placers[flow]
+        self._placement.tick(now)
+
+    def _open(self, packet: bytes, head: FlowPacket, now: float) -> None:
+        if not self.is_ready:
+            self._counts["opens_before_ready"] += 1
+            return
+        route = self._table.route(head.service_key)
+        if route is None:
+            self._counts["opens_without_route"] += 1
+            self._log.decided(head.flow, "refused", "no route", None)
+            self._reset(head.flow)
+            return
+        self._counts["opens"] += 1
+        service = route.service_of(head.flow)
+        request = FlowRequest(head.flow, service, head.copy, packet, route.priority)
+        steward = self._stewards.steward(self._zone, service, now)
+        if steward is None or steward == self._address:
+            self._placers[head.flow] = (self._address, now)
+            self._place(request, now)
+            return
+        self._placers[head.flow] = (steward, now)
+        self._awaited[head.flow] = _Awaited(
+            request, steward, now + STEWARD_ANSWER_SECONDS
+        )
+        self._counts["opens_to_steward"] += 1
+        asked = PlaceFlow(head.flow, service, head.copy, route.priority, packet)
+        self._port.send_to_host(steward, asked)
+
+    def _place(self, request: FlowRequest, now: float) -> None:
+        self._carry_out(request, self._placement.open_flow(request, now))
+
+    def _carry_out(self, request: FlowRequest, decision: Decision) -> None:
+        self._counts[f"flows_{decision.outcome.value}"] += 1
+        self._log.decided(
+            request.flow, decision.outcome.value, decision.reason, decision.target
+        )
+        target = decision.target
+        if decision.outcome is Outcome.REFUSED:
+            self._reset(request.flow)
+        elif decision.outcome is Outcome.PLACED and target is not None:
+            datagram = self._packets.to_target(
+                request.packet, target.identity, target.cookie
+            )
+            self._port.send_to_target(datagram, target.endpoint)
+
+    def _carry(self, packet: bytes, head: FlowPacket, now: float) -> None:
+        if head.ends:
+            self._end(head.flow, now)
+        target = self._roster.by_cookie(head.cookie)
+        if target is None:
+            self._counts["packets_with_unknown_mark"] += 1
+            self._log.decided(head.flow, "dropped", "unknown mark", None)
+            return
+        if not self._table.may_carry(head.service_key, target.service):
+            self._counts["packets_of_removed_route"] += 1
+            return
+        if target.state is ServingState.GONE:
+            # The server said that it ends, so its flows are over.
+            self._counts["packets_to_server_gone"] += 1
+            return
+        self._counts["packets_carried"] += 1
+        datagram = self._packets.to_target(packet, target.identity, head.cookie)
+        self._port.send_to_target(datagram, target.endpoint)
+
+    def _end(self, flow: bytes, now: float) -> None:
+        noted = self._placers.pop(flow, None)
+        if noted is None:
+            return
+        if noted[0] == self._address:
+            self._placement.end_flow(flow, now)
+        else:
+            self._port.send_to_host(noted[0], FlowEnded(flow))
+
+    def _reset(self, flow: bytes) -> None:
+        packet, address = self._packets.reset(flow)
+        self._port.send_to_caller(packet, address)
--- /dev/null
+++ b/src/kingcuppulley/fabric/formats.py
@@ -0,0 +1,52 @@
+"""Define what the cookie router needs of a packet, whatever its format."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class FlowPacket:
+    """Hold what one packet says of its flow.
+
+    Attributes
+    ----------
+    flow : bytes
+        Addresses and ports of both ends; equal for every packet of the flow.
+    service_key : bytes
+        Address and port that the caller called.
+    copy : int
+        How many equal opening packets the caller sent before this one.
+    cookie : int
+        What the target returned of this system's own mark; 0 for none.
+    """
+
+    __slots__ = ("flow", "service_key", "opens", "ends", "copy", "cookie")
+
+    def __init__(
+        self,
+        flow: bytes,
+        service_key: bytes,
+        opens: bool,
+        ends: bool,
+        copy: int,
+        cookie: int,
+    ) -> None:
+        self.flow = flow
+        self.service_key = service_key
+        self.opens = opens
+        self.ends = ends
+        self.copy = copy
+        self.cookie = cookie
+
+
+class PacketFormat(Protocol):
+    """Read packets from callers and write packets to targets and callers."""
+
+    def read(self, packet: bytes) -> FlowPacket:
+        """Return what a packet says, or raise `MalformedPacketError`."""
+
+    def to_target(self, packet: bytes, identity: bytes, cookie: int) -> bytes:
+        """Return the datagram that carries a packet to one backend server."""
+
+    def reset(self, flow: bytes) -> tuple[bytes, str]:
+        """Return a reset of a flow and the caller's address that it goes to."""
--- /dev/null
+++ b/src/kingcuppulley/fabric/placement.py
@@ -0,0 +1,310 @@
+"""Choose a backend server for each new flow by the load that is known of each."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from itertools import count
+from random import Random
+
+from kingcuppulley.backend_servers.roster import Roster, RosterTarget
+
+COUNTED_SECONDS = 2.0
+REMEMBERED_SECONDS = 3.0
+REPORT_SECONDS = 0.5
+SUSPECT_SECONDS = 1.0
+HOLD_SECONDS = 1.0
+COLD_SPACING_SECONDS = 0.6
+QUEUED_PER_SLOT = 1
+HELD_PER_SLOT = 4
+OTHER_ZONE_COST = 0.6
+
+
+class Outcome(Enum):
+    """Name what became of a new flow."""
+
+    PLACED = "placed"
+    HELD = "held"
+    REFUSED = "refused"
+
+
+class FlowRequest:
+    """Ask for a backend server for one new flow."""
+
+    __slots__ = ("flow", "service", "copy", "packet", "priority", "hold_deadline")
+
+    def __init__(
+        self, flow: bytes, service: str, copy: int, packet: bytes, priority: int
+    ) -> None:
+        self.flow = flow
+        self.service = service
+        self.copy = copy
+        self.packet = packet
+        self.priority = priority
+        self.hold_deadline = 0.0
+
+
+class Decision:
+    """Hold what became of a new flow and why."""
+
+    __slots__ = ("outcome", "target", "reason")
+
+    def __init__(
+        self, outcome: Outcome, target: RosterTarget | None, reason: str
+    ) -> None:
+        self.outcome = outcome
+        self.target = target
+        self.reason = reason
+
+
+class _PlacedFlow:
+    """Remember where a flow was placed."""
+
+    __slots__ = ("target", "is_counted", "missed")
+
+    def __init__(self, target: RosterTarget) -> None:
+        self.target = target
+        self.is_counted = True
+        self.missed: list[int] = []
+
+
+class _Load:
+    """Count the flows of one backend server, and what speaks against it."""
+
+    __slots__ = ("own", "reported", "suspect_deadline", "cold_place_at")
+
+    def __init__(self) -> None:
+        self.own = 0
+        self.reported: dict[str, tuple[int, float]] = {}
+        self.suspect_deadline = 0.0
+        self.cold_place_at = 0.0
+
+    def total(self, now: float) -> int:
+        """Return the flows that are open as far as is known."""
+        total = self.own
+        for flows, deadline in self.reported.values():
+            if now < deadline:
+                total += flows
+        return total
+
+
+_NOT_REACHED_TIER = 3
+_COLD_TIER = 2
+_SUSPECT_TIER = 1
+
+
+class Placement:
+    """Place the new flows of some services on their backend servers.
+
+    A flow counts until its caller ends it or `COUNTED_SECONDS` have passed.  A copy of
+    an opening packet says that the server placed first did not answer: the copy goes
+    to another one, and the first is avoided for a while.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        roster: Roster,
+        generator: Random,
+        on_release: Callable[[FlowRequest, Decision], None],
+    ) -> None:
+        self._zone = zone
+        self._roster = roster
+        self._generator = generator
+        self._on_release = on_release
+        self._flows: dict[bytes, _PlacedFlow] = {}
+        self._ages: deque[tuple[float, bytes, _PlacedFlow]] = deque()
+        self._expiries: deque[tuple[float, bytes, _PlacedFlow]] = deque()
+        self._loads: dict[int, _Load] = {}
+        self._held: dict[str, list[tuple[int, int, FlowRequest]]] = {}
+        self._held_flows: set[bytes] = set()
+        self._ticket = count()
+        self._zones_out: frozenset[str] = frozenset()
+        self._unreached_zones: frozenset[str] = frozenset()
+        self._may_place_cold: Callable[[RosterTarget], bool] = lambda _: True
+
+    @property
+    def held_count(self) -> int:
+        """Return how many flows wait for a backend server."""
+        return len(self._held_flows)
+
+    @property
+    def open_count(self) -> int:
+        """Return how many flows are counted as open."""
+        return sum(load.own for load in self._loads.values())
+
+    def use_zones(self, out: frozenset[str], unreached: frozenset[str]) -> None:
+        """Take the zones out of service and those that do not answer."""
+        self._zones_out = out
+        self._unreached_zones = unreached
+
+    def use_cold_rule(self, may_place_cold: Callable[[RosterTarget], bool]) -> None:
+        """Take the rule for which cold servers this host may use at all."""
+        self._may_place_cold = may_place_cold
+
+    def report(self) -> list[tuple[int, int]]:
+        """Return the marks of the servers in use here and their open flows."""
+        return [(cookie, load.own) for cookie, load in self._loads.items() if load.own]
+
+    def take_report(
+        self, host: str, loads: list[tuple[int, int]], now: float
+    ) -> None:
+        """Take the open flows that another host placed."""
+        deadline = now + REPORT_SECONDS
+        reported = dict(loads)
+        for cookie, load in self._loads.items():
+            if cookie not in reported:
+                load.reported.pop(host, None)
+        for cookie, flows in reported.items():
+            self._load(cookie).reported[host] = (flows, deadline)
+
+    def open_flow(self, request: FlowRequest, now: float) -> Decision:
+        """Place a new flow, hold it until a server has room, or refuse it."""
+        placed = self._flows.get(request.flow)
+        if request.flow in self._held_flows:
+            return Decision(Outcome.HELD, None, "waiting")
+        if placed is not None:
+            return self._place_again(placed, request, now)
+        return self._place_first(request, now)
+
+    def end_flow(self, flow: bytes, now: float) -> None:
+        """Take the end of a flow and give its place to one that waits."""
+        placed = self._flows.pop(flow, None)
+        if placed is None:
+            return
+        self._uncount(placed)
+        self._release_held(placed.target.service, now)
+
+    def tick(self, now: float) -> None:
+        """Forget flows that are old, and refuse what has waited too long."""
+        services = set()
+        while self._ages and self._ages[0][0] <= now:
+            _, _, placed = self._ages.popleft()
+            if placed.is_counted:
+                self._uncount(placed)
+                services.add(placed.target.service)
+        while self._expiries and self._expiries[0][0] <= now:
+            _, flow, placed = self._expiries.popleft()
+            if self._flows.get(flow) is placed:
+                del self._flows[flow]
+        for service in services | self._held.keys():
+            self._release_held(service, now)
+
+    def _place_again(
+        self, placed: _PlacedFlow, request: FlowRequest, now: float
+    ) -> Decision:
+        if request.copy <= len(placed.missed):
+            return Decision(Outcome.PLACED, placed.target, "repeated")
+        missed = placed.target
+        load = self._load(missed.cookie)
+        load.suspect_deadline = now + SUSPECT_SECONDS
+        placed.missed.append(missed.cookie)
+        target = self._choose(request.service, placed.missed, now)[0]
+        if target is None:
+            return Decision(Outcome.PLACED, missed, "no other server")
+        self._uncount(placed)
+        self._count(placed, target, request.flow, now)
+        return Decision(Outcome.PLACED, target, "no answer from the first server")
+
+    def _place_first(self, request: FlowRequest, now: float) -> Decision:
+        target, has_room, slots = self._choose(request.service, (), now)
+        if target is None and not slots:
+            return Decision(Outcome.REFUSED, None, "no server")
+        waiting = self._held.setdefault(request.service, [])
+        if target is None or not has_room or waiting:
+            if len(waiting) >= HELD_PER_SLOT * slots:
+                return Decision(Outcome.REFUSED, None, "too many wait")
+            request.hold_deadline = now + HOLD_SECONDS
+            entry = (request.priority, next(self._ticket), request)
+            heapq.heappush(waiting, entry)
+            self._held_flows.add(request.flow)
+            return Decision(Outcome.HELD, None, "every server is full")
+        return self._place(request, target, now)
+
+    def _place(
+        self, request: FlowRequest, target: RosterTarget, now: float
+    ) -> Decision:
+        placed = _PlacedFlow(target)
+        self._flows[request.flow] = placed
+        self._expiries.append((now + REMEMBERED_SECONDS, request.flow, placed))
+        self._count(placed, target, request.flow, now)
+        return Decision(Outcome.PLACED, target, "least load")
+
+    def _release_held(self, service: str, now: float) -> None:
+        waiting = self._held.get(service)
+        while waiting:
+            request = waiting[0][2]
+            if now >= request.hold_deadline:
+                decision = Decision(Outcome.REFUSED, None, "waited too long")
+            else:
+                target, has_room, _ = self._choose(service, (), now)
+                if target is None or not has_room:
+                    return
+                decision = self._place(request, target, now)
+            heapq.heappop(waiting)
+            self._held_flows.discard(request.flow)
+            self._on_release(request, decision)
+
+    def _choose(
+        self, service: str, missed: list[int] | tuple[()], now: float
+    ) -> tuple[RosterTarget | None, bool, int]:
+        """Return the best server, whether it has room, and the slots of all."""
+        best: RosterTarget | None = None
+        best_key = (9, 0.0)
+        best_room = False
+        slots = 0
+        for target in self._roster.of_service(service):
+            if not target.takes_new_flows or target.zone in self._zones_out:
+                continue
+            slots += target.slots
+            if target.cookie in missed:
+                continue
+            load = self._load(target.cookie)
+            tier = self._tier(target, load, now)
+            if tier == _COLD_TIER and not self._may_use_cold(target, load, now):
+                continue
+            flows = load.total(now)
+            cost = flows / max(1, target.slots) + 0.5 * self._generator.random()
+            if target.zone != self._zone:
+                cost += OTHER_ZONE_COST
+            if (tier, cost) < best_key:
+                best = target
+                best_key = (tier, cost)
+                best_room = flows < target.slots * (1 + QUEUED_PER_SLOT)
+        return best, best_room, slots
+
+    def _tier(self, target: RosterTarget, load: _Load, now: float) -> int:
+        if target.zone in self._unreached_zones:
+            return _NOT_REACHED_TIER
+        if now < target.cold_deadline:
+            return _COLD_TIER
+        if now < load.suspect_deadline:
+            return _SUSPECT_TIER
+        return 0
+
+    def _may_use_cold(self, target: RosterTarget, load: _Load, now: float) -> bool:
+        return now >= load.cold_place_at and self._may_place_cold(target)
+
+    def _count(
+        self, placed: _PlacedFlow, target: RosterTarget, flow: bytes, now: float
+    ) -> None:
+        placed.target = target
+        placed.is_counted = True
+        load = self._load(target.cookie)
+        load.own += 1
+        if now < target.cold_deadline:
+            load.cold_place_at = now + COLD_SPACING_SECONDS
+        self._ages.append((now + COUNTED_SECONDS, flow, placed))
+
+    def _uncount(self, placed: _PlacedFlow) -> None:
+        if placed.is_counted:
+            placed.is_counted = False
+            self._load(placed.target.cookie).own -= 1
+
+    def _load(self, cookie: int) -> _Load:
+        load = self._loads.get(cookie)
+        if load is None:
+            load = self._loads[cookie] = _Load()
+        return load
--- /dev/null
+++ b/src/kingcuppulley/platform/calls.py
@@ -0,0 +1,127 @@
+"""Answer the platform's HTTP calls by the product's own interfaces."""
+
+from __future__ import annotations
+
+from urllib.parse import unquote
+
+import msgspec
+from twisted.web.http import Request
+
+from kingcuppulley.control.seeded_host import ControlHost
+from kingcuppulley.control.state import RoutingState
+from kingcuppulley.errors import InvalidConfigurationError, InvalidHeartbeatError
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.http_api import (
+    JSON_TYPE,
+    answer_fault,
+    answer_json,
+    answer_text,
+    read_body,
+)
+from kingcuppulley.platform.documents import decode_configuration, decode_heartbeat
+
+READY_PATH = b"/kingcuppulley/ready"
+_PUT = "/kingcuppulley/config/put"
+_GET = "/kingcuppulley/config/get"
+_TARGETS = "/kingcuppulley/targets/"
+_ZONES = "/kingcuppulley/evacuate/"
+_ASK_AGAIN = "ask again, or ask another host"
+
+
+class _Done(msgspec.Struct):
+    """Acknowledge a call."""
+
+    ok: bool = True
+
+
+class ControlCalls:
+    """Pass heartbeats and operators' orders on to a control host."""
+
+    def __init__(self, host: ControlHost, zones: list[str], metrics: Metrics) -> None:
+        self._host = host
+        self._zones = frozenset(zones)
+        self._metrics = metrics
+
+    def handle(self, request: Request) -> None:
+        """Answer one call."""
+        path = unquote(request.path.decode("latin-1"))
+        if request.method == b"GET" and path == _GET:
+            self._read(request)
+        elif request.method != b"POST":
+            answer_fault(request, 404, "no such call", "see the operators' pages")
+        elif path == _PUT:
+            self._put(request)
+        elif path.startswith(_TARGETS):
+            self._target(request, path[len(_TARGETS) :])
+        elif path.startswith(_ZONES):
+            self._zone(request, path[len(_ZONES) :])
+        else:
+            answer_fault(request, 404, "no such call", "see the operators' pages")
+
+    def _put(self, request: Request) -> None:
+        document = read_body(request)
+        try:
+            configuration = decode_configuration(document)
+        except InvalidConfigurationError as error:
+            self._metrics.count("configurations_refused")
+            self._host.refused(str(error))
+            answer_fault(request, 400, error.place, error.remedy)
+            return
+        self._host.put_configuration(
+            configuration.version, document, _answer_when_settled(request)
+        )
+
+    def _read(self, request: Request) -> None:
+        def answer(state: RoutingState | None) -> None:
+            if _is_gone(request):
+                return
+            document = self._host.document(state)
+            if document is None:
+                answer_fault(request, 503, "not certain", _ASK_AGAIN)
+            else:
+                answer_text(request, 200, document, JSON_TYPE)
+
+        self._host.read(answer)
+
+    def _target(self, request: Request, rest: str) -> None:
+        name, _, call = rest.partition("/")
+        if call == "leave":
+            self._host.leave(name)
+            answer_json(request, 200, _Done())
+            return
+        if call != "heartbeat":
+            answer_fault(request, 404, "no such call", "see the pages of targets")
+            return
+        try:
+            heartbeat = decode_heartbeat(name, read_body(request))
+        except InvalidHeartbeatError as error:
+            self._metrics.count("heartbeats_refused")
+            answer_fault(request, 400, "heartbeat", str(error))
+            return
+        self._host.hear(heartbeat)
+        answer_json(request, 200, _Done())
+
+    def _zone(self, request: Request, rest: str) -> None:
+        zone, _, call = rest.partition("/")
+        if call not in ("start", "end"):
+            answer_fault(request, 404, "no such call", "call start or end")
+        elif zone not in self._zones:
+            answer_fault(request, 404, f"no zone {zone!r}", "name a zone that exists")
+        else:
+            self._host.set_zone(zone, call == "end", _answer_when_settled(request))
+
+
+def _answer_when_settled(request: Request):  # type: ignore[no-untyped-def]
+    def answer(state: RoutingState | None) -> None:
+        if _is_gone(request):
+            return
+        if state is None:
+            answer_fault(request, 503, "no majority answered in time", _ASK_AGAIN)
+        else:
+            answer_json(request, 200, _Done())
+
+    return answer
+
+
+def _is_gone(request: Request) -> bool:
+    return bool(getattr(request, "_disconnected", False)) or request.channel is None
--- /dev/null
+++ b/src/kingcuppulley/platform/packets.py
@@ -0,0 +1,84 @@
+"""Read and write the platform's packets."""
+
+from __future__ import annotations
+
+import struct
+
+from kingcuppulley.errors import MalformedPacketError
+from kingcuppulley.fabric.formats import FlowPacket
+
+_HEAD = struct.Struct("!IIIH4sH4sIB3sH")
+_COOKIE = struct.Struct("!I")
+_LENGTH = struct.Struct("!H")
+_COOKIE_OFFSET = 24
+_COOKIE_END = 28
+_FLAGS_OFFSET = 28
+_LENGTH_OFFSET = 32
+_FLOW = slice(12, 24)
+_ADDRESS = slice(20, 24)
+_PORT = slice(12, 14)
+_ACKNOWLEDGED = struct.Struct("!I")
+_ACKNOWLEDGED_OFFSET = 4
+
+MAXIMUM_DATA_BYTES = 1_200
+
+_SYN = 8
+_FIN = 32
+_ACK = 64
+_RST = 128
+_BOUNCED = 4
+_KNOWN_FLAGS = _SYN | _FIN | _ACK | _RST | _BOUNCED
+_ENDS = _FIN | _RST
+
+
+class PlatformPackets:
+    """Read the platform's packets for the router, and write its resets."""
+
+    __slots__ = ()
+
+    def read(self, packet: bytes) -> FlowPacket:
+        """Return what a packet says, or raise `MalformedPacketError`."""
+        if len(packet) < _HEAD.size:
+            raise MalformedPacketError("the packet is shorter than its header")
+        flags = packet[_FLAGS_OFFSET]
+        if flags & ~_KNOWN_FLAGS:
+            raise MalformedPacketError(f"the packet carries unknown flags {flags:#x}")
+        (length,) = _LENGTH.unpack_from(packet, _LENGTH_OFFSET)
+        if length > MAXIMUM_DATA_BYTES or length != len(packet) - _HEAD.size:
+            raise MalformedPacketError("the packet's length does not fit its data")
+        # A SYN+ACK is written by backend servers only, so a caller's one is forged.
+        if flags & _SYN and flags & ~(_SYN | _BOUNCED):
+            raise MalformedPacketError("an opening packet carries other flags")
+        opens = bool(flags & _SYN)
+        copy = 0
+        if opens:
+            # On an opening packet `ack` counts the copies that went before.
+            (copy,) = _ACKNOWLEDGED.unpack_from(packet, _ACKNOWLEDGED_OFFSET)
+        (cookie,) = _COOKIE.unpack_from(packet, _COOKIE_OFFSET)
+        return FlowPacket(
+            packet[_FLOW],
+            packet[_ADDRESS] + packet[_PORT],
+            opens,
+            bool(flags & _ENDS),
+            copy,
+            cookie,
+        )
+
+    def to_target(self, packet: bytes, identity: bytes, cookie: int) -> bytes:
+        """Return the datagram that carries a packet to one backend server."""
+        return b"".join(
+            (
+                identity,
+                packet[:_COOKIE_OFFSET],
+                _COOKIE.pack(cookie),
+                packet[_COOKIE_END:],
+            )
+        )
+
+    def reset(self, flow: bytes) -> tuple[bytes, str]:
+        """Return a reset of a flow and the caller's address that it goes to."""
+        port, source, source_port, address = struct.unpack("!H4sH4s", flow)
+        packet = _HEAD.pack(
+            0, 0, 0, source_port, address, port, source, 0, _RST, b"\0\0\0", 0
+        )
+        return packet, ".".join(str(octet) for octet in source)
