--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -12,6 +12,9 @@
 from kingcuppulley.backend_servers.roster import Roster, RosterTarget
 
 COUNTED_SECONDS = 2.0
+COUNTED_AT_LEAST_SECONDS = 0.4
+COUNTED_TIMES_USUAL = 6.0
+USUAL_WEIGHT = 0.1
 REMEMBERED_SECONDS = 3.0
 REPORT_SECONDS = 0.5
 SUSPECT_SECONDS = 1.0
@@ -62,10 +65,11 @@
 class _PlacedFlow:
     """Remember where a flow was placed."""
 
-    __slots__ = ("target", "is_counted", "missed")
+    __slots__ = ("target", "placed_at", "is_counted", "missed")
 
-    def __init__(self, target: RosterTarget) -> None:
+    def __init__(self, target: RosterTarget, now: float) -> None:
         self.target = target
+        self.placed_at = now
         self.is_counted = True
         self.missed: list[int] = []
 
@@ -73,10 +77,11 @@
 class _Load:
     """Count the flows of one backend server, and what speaks against it."""
 
-    __slots__ = ("own", "reported", "suspect_deadline", "cold_place_at")
+    __slots__ = ("own", "reported", "suspect_deadline", "cold_place_at", "usual")
 
     def __init__(self) -> None:
         self.own = 0
+        self.usual = COUNTED_AT_LEAST_SECONDS / COUNTED_TIMES_USUAL
         self.reported: dict[str, tuple[int, float]] = {}
         self.suspect_deadline = 0.0
         self.cold_place_at = 0.0
@@ -98,7 +103,8 @@
 class Placement:
     """Place the new flows of some services on their backend servers.
 
-    A flow counts until its caller ends it or `COUNTED_SECONDS` have passed.  A copy of
+    A flow counts until its caller ends it, or until it has lasted several times as long
+    as the server's flows usually do: its caller has given up without a word.  A copy of
     an opening packet says that the server placed first did not answer: the copy goes
     to another one, and the first is avoided for a while.
     """
@@ -115,7 +121,7 @@
         self._generator = generator
         self._on_release = on_release
         self._flows: dict[bytes, _PlacedFlow] = {}
-        self._ages: deque[tuple[float, bytes, _PlacedFlow]] = deque()
+        self._ages: list[tuple[float, int, _PlacedFlow]] = []
         self._expiries: deque[tuple[float, bytes, _PlacedFlow]] = deque()
         self._loads: dict[int, _Load] = {}
         self._held: dict[str, list[tuple[int, int, FlowRequest]]] = {}
@@ -174,6 +180,9 @@
         placed = self._flows.pop(flow, None)
         if placed is None:
             return
+        if placed.is_counted:
+            load = self._load(placed.target.cookie)
+            load.usual += USUAL_WEIGHT * (now - placed.placed_at - load.usual)
         self._uncount(placed)
         self._release_held(placed.target.service, now)
 
@@ -181,7 +190,7 @@
         """Forget flows that are old, and refuse what has waited too long."""
         services = set()
         while self._ages and self._ages[0][0] <= now:
-            _, _, placed = self._ages.popleft()
+            _, _, placed = heapq.heappop(self._ages)
             if placed.is_counted:
                 self._uncount(placed)
                 services.add(placed.target.service)
@@ -205,7 +214,7 @@
         if target is None:
             return Decision(Outcome.PLACED, missed, "no other server")
         self._uncount(placed)
-        self._count(placed, target, request.flow, now)
+        self._count(placed, target, now)
         return Decision(Outcome.PLACED, target, "no answer from the first server")
 
     def _place_first(self, request: FlowRequest, now: float) -> Decision:
@@ -226,10 +235,10 @@
     def _place(
         self, request: FlowRequest, target: RosterTarget, now: float
     ) -> Decision:
-        placed = _PlacedFlow(target)
+        placed = _PlacedFlow(target, now)
         self._flows[request.flow] = placed
         self._expiries.append((now + REMEMBERED_SECONDS, request.flow, placed))
-        self._count(placed, target, request.flow, now)
+        self._count(placed, target, now)
         return Decision(Outcome.PLACED, target, "least load")
 
     def _release_held(self, service: str, now: float) -> None:
@@ -288,7 +297,7 @@
         return now >= load.cold_place_at and self._may_place_cold(target)
 
     def _count(
-        self, placed: _PlacedFlow, target: RosterTarget, flow: bytes, now: float
+        self, placed: _PlacedFlow, target: RosterTarget, now: float
     ) -> None:
         placed.target = target
         placed.is_counted = True
@@ -296,7 +305,10 @@
         load.own += 1
         if now < target.cold_deadline:
             load.cold_place_at = now + COLD_SPACING_SECONDS
-        self._ages.append((now + COUNTED_SECONDS, flow, placed))
+        placed.placed_at = now
+        seconds = max(COUNTED_AT_LEAST_SECONDS, load.usual * COUNTED_TIMES_USUAL)
+        deadline = now + min(COUNTED_SECONDS, seconds)
+        heapq.heappush(self._ages, (deadline, next(self._ticket), placed))
 
     def _uncount(self, placed: _PlacedFlow) -> None:
         if placed.is_counted:
--- a/src/kingcuppulley/internal/event_log.py
+++ b/src/kingcuppulley/internal/event_log.py
@@ -63,9 +63,9 @@
     """Record events of one process within a budget of lines a second."""
 
     def __init__(
-        self, host: str, metrics: Metrics, clock: Callable[[], float]
+        self, process: str, metrics: Metrics, clock: Callable[[], float]
     ) -> None:
-        self._host = host
+        self._process = process
         self._metrics = metrics
         self._clock = clock
         self._credit = float(BURST_LINES)
@@ -81,18 +81,21 @@
             self._metrics.count("log_lines_left_out")
             return
         if self._left_out:
-            log_message("kingcuppulley:left out", host=self._host, lines=self._left_out)
+            self._write("left out", {"lines": self._left_out})
             self._left_out = 0
-        log_message(f"kingcuppulley:{kind}", host=self._host, **fields)
+        self._write(kind, fields)
 
     def always(self, kind: str, **fields: object) -> None:
         """Record a start, stop, reload or dependency whatever the budget."""
-        log_message(f"kingcuppulley:{kind}", host=self._host, **fields)
+        self._write(kind, fields)
 
     def flush(self) -> None:
         """Write what waits."""
         self._output.flush()
 
+    def _write(self, kind: str, fields: dict[str, Any]) -> None:
+        log_message(f"kingcuppulley:{kind}", **{**fields, "process": self._process})
+
     def _has_credit(self) -> bool:
         now = self._clock()
         earned = (now - self._credited_at) * LINES_PER_SECOND
--- a/src/kingcuppulley/seeded_composition.py
+++ b/src/kingcuppulley/seeded_composition.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any
 
+from eliot import write_traceback
 from twisted.internet.protocol import DatagramProtocol
 from twisted.internet.task import LoopingCall
 from twisted.web.http import Request
@@ -161,7 +162,7 @@
         self._node.receive(address, message, self._clock.now())
 
     def _tick(self) -> None:
-        self._node.tick(self._clock.now())
+        guarded(self._node.tick, self._clock.now(), self._metrics)
         self.log.flush()
 
     def _answer(self, request: Request) -> None:
@@ -258,7 +259,7 @@
         self._host.ensemble.written(failure is None, self._clock.now())
 
     def _tick(self) -> None:
-        self._host.tick(self._clock.now())
+        guarded(self._host.tick, self._clock.now(), self._metrics)
         self.log.flush()
 
 
@@ -292,6 +293,15 @@
     LoopingCall(check).start(SETTINGS_CHECK_SECONDS, now=False)
 
 
+def guarded(tick: Callable[[float], None], now: float, metrics: Metrics) -> None:
+    """Call a tick so that one that fails does not end all later ones."""
+    try:
+        tick(now)
+    except Exception:
+        metrics.count("ticks_failed")
+        write_traceback()
+
+
 def _write_first(store: FileVoteStore, vote: Any, log: EventLog) -> None:
     # The name of this disk must be durable before anyone counts it; until it can be
     # written nothing else makes sense.
