Hold new flows briefly, and count flows by their server's usual length

Cause: after the final fault callers' retries kept every server's count full with flows whose callers had given up (seconds of count each), and flows held for a second were sent when nobody waited; 100 flows a second were placed where 400 fit. Overload did not end by itself. Change: hold 0.3 s at most, three flows a slot; a flow counts four times its server's usual length, and a lingering caller hardly moves that.

--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -12,16 +12,17 @@
 from kingcuppulley.backend_servers.roster import Roster, RosterTarget
 
 COUNTED_SECONDS = 2.0
-COUNTED_AT_LEAST_SECONDS = 0.4
-COUNTED_TIMES_USUAL = 6.0
+COUNTED_AT_LEAST_SECONDS = 0.2
+COUNTED_TIMES_USUAL = 4.0
 USUAL_WEIGHT = 0.1
+USUAL_GROWTH = 3.0
 REMEMBERED_SECONDS = 3.0
 REPORT_SECONDS = 0.5
 SUSPECT_SECONDS = 1.0
-HOLD_SECONDS = 1.0
+HOLD_SECONDS = 0.3
 COLD_SPACING_SECONDS = 0.6
 QUEUED_PER_SLOT = 1
-HELD_PER_SLOT = 4
+HELD_PER_SLOT = 3
 OTHER_ZONE_COST = 0.6
 
 
@@ -86,6 +87,11 @@
         self.suspect_deadline = 0.0
         self.cold_place_at = 0.0
 
+    def learn(self, seconds: float) -> None:
+        """Take how long a flow lasted; one of a caller that lingers tells little."""
+        seconds = min(seconds, USUAL_GROWTH * self.usual)
+        self.usual += USUAL_WEIGHT * (seconds - self.usual)
+
     def total(self, now: float) -> int:
         """Return the flows that are open as far as is known."""
         total = self.own
@@ -181,8 +187,7 @@
         if placed is None:
             return
         if placed.is_counted:
-            load = self._load(placed.target.cookie)
-            load.usual += USUAL_WEIGHT * (now - placed.placed_at - load.usual)
+            self._load(placed.target.cookie).learn(now - placed.placed_at)
         self._uncount(placed)
         self._release_held(placed.target.service, now)
 
