--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -11,7 +11,6 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 from twisted.web.http import Request
-from twisted.web.server import Site
 
 from kingcuppulley.backend_servers.announcements import PATH, AnnouncementApi
 from kingcuppulley.backend_servers.http_client import BackendServerClient
@@ -29,7 +28,8 @@
 from kingcuppulley.fabric.udp_task import FabricSocket, HostSocket, UdpPacketPort
 from kingcuppulley.internal.clock import ProcessClock
 from kingcuppulley.internal.counters import Metrics
-from kingcuppulley.internal.http_api import ApiResource, answer_json, answer_text
+from kingcuppulley.internal.http_api import answer_json, answer_text
+from kingcuppulley.internal.http_server import ApiFactory
 from kingcuppulley.internal.tracing import FileTracer, NoTracer, Tracer
 from kingcuppulley.operators.administration import AdministrationApi
 from kingcuppulley.operators.configuration import Configuration
@@ -127,7 +127,7 @@
         administration = self._settings.administration
         self._reactor.listenTCP(
             administration.listen_port,
-            Site(ApiResource(self._administer)),
+            ApiFactory(self._administer),
             interface=administration.listen_host,
         )
         _start_ticker(self._ticker, self._reactor)
@@ -313,7 +313,7 @@
         administration = self._settings.administration
         self._reactor.listenTCP(
             administration.listen_port,
-            Site(ApiResource(self._api.handle)),
+            ApiFactory(self._api.handle),
             interface=administration.listen_host,
         )
         _start_ticker(self._ticker, self._reactor)
--- a/src/kingcuppulley/control/ensemble_host.py
+++ b/src/kingcuppulley/control/ensemble_host.py
@@ -5,17 +5,19 @@
 from random import Random
 from typing import Protocol
 
-import msgspec
-
 from kingcuppulley.control.ensemble_messages import (
     AcceptState,
     AskState,
-    EnsembleMessage,
+    ChosenState,
+    ControlHello,
+    EnsembleHostMessage,
     EnsembleReply,
     EnsembleRequest,
+    FetchState,
     PrepareState,
 )
 from kingcuppulley.control.proposer import OnState, Proposer
+from kingcuppulley.control.registers import ZERO_BALLOT
 from kingcuppulley.control.state import (
     ChosenVoters,
     Member,
@@ -25,7 +27,6 @@
     VoterSet,
     replace_members,
 )
-from kingcuppulley.control.registers import ZERO_BALLOT
 from kingcuppulley.control.voter import Voter, VoteWriter
 
 HELLO_SECONDS = 0.25
@@ -35,35 +36,6 @@
 MEMBER_CHANGE_SECONDS = 2.0
 
 
-class ControlHello(msgspec.Struct, frozen=True, array_like=True, tag="ch"):
-    """Tell other control hosts of this one and of those that it knows.
-
-    `revision` is the newest that is known to be chosen, -1 for none.
-    """
-
-    host: str
-    store: str
-    zone: str
-    is_leaving: bool
-    revision: int
-    known: list[str]
-
-
-class FetchState(msgspec.Struct, frozen=True, array_like=True, tag="fs"):
-    """Ask for the chosen state if it is newer than this revision."""
-
-    revision: int
-
-
-class ChosenState(msgspec.Struct, frozen=True, array_like=True, tag="cs"):
-    """Tell a state that is chosen."""
-
-    state: RoutingState
-
-
-EnsembleHostMessage = EnsembleMessage | ControlHello | FetchState | ChosenState
-
-
 class EnsemblePort(Protocol):
     """Send messages of the ensemble, and tell when a state is chosen."""
 
@@ -164,9 +136,7 @@
 
     def live_hosts(self, now: float) -> list[str]:
         """Return the control hosts that were heard lately."""
-        return sorted(
-            host for host, peer in self._peers.items() if _is_live(peer, now)
-        )
+        return sorted(host for host, peer in self._peers.items() if _is_live(peer, now))
 
     def use_seeds(self, seeds: list[str]) -> None:
         """Take the control hosts that the settings name now."""
--- a/src/kingcuppulley/control/ensemble_messages.py
+++ b/src/kingcuppulley/control/ensemble_messages.py
@@ -66,3 +66,32 @@
 )
 EnsembleRequest = PrepareState | AcceptState | AskState
 EnsembleReply = StatePromise | StateAccepted | StateAnswer
+
+
+class ControlHello(msgspec.Struct, frozen=True, array_like=True, tag="ch"):
+    """Tell other control hosts of this one and of those that it knows.
+
+    `revision` is the newest that is known to be chosen, -1 for none.
+    """
+
+    host: str
+    store: str
+    zone: str
+    is_leaving: bool
+    revision: int
+    known: list[str]
+
+
+class FetchState(msgspec.Struct, frozen=True, array_like=True, tag="fs"):
+    """Ask for the chosen state if it is newer than this revision."""
+
+    revision: int
+
+
+class ChosenState(msgspec.Struct, frozen=True, array_like=True, tag="cs"):
+    """Tell a state that is chosen."""
+
+    state: RoutingState
+
+
+EnsembleHostMessage = EnsembleMessage | ControlHello | FetchState | ChosenState
--- a/src/kingcuppulley/control/proposer.py
+++ b/src/kingcuppulley/control/proposer.py
@@ -224,9 +224,7 @@
             members = set(current.proposed.voters.all())
         return sorted(members)
 
-    def _take_promise(
-        self, current: _Round, promise: StatePromise, now: float
-    ) -> None:
+    def _take_promise(self, current: _Round, promise: StatePromise, now: float) -> None:
         if current.proposed is not None:
             return
         state = self._state_of(promise)
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -10,10 +10,8 @@
 import msgspec
 
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, HeartbeatLedger
-from kingcuppulley.control.ensemble_host import (
-    ChosenState,
-    ControlHello,
-    EnsembleHost,
+from kingcuppulley.control.ensemble_host import EnsembleHost
+from kingcuppulley.control.ensemble_messages import (
     EnsembleHostMessage,
     FetchState,
 )
@@ -113,13 +111,13 @@
         """Return this host's part in the agreement."""
         return self._ensemble
 
-    def put_configuration(
-        self, version: int, document: bytes, on_end: OnState
-    ) -> None:
+    def put_configuration(self, version: int, document: bytes, on_end: OnState) -> None:
         """Put a configuration in force unless a higher version is."""
         current = self._ensemble.current
         if current is not None and version <= current.configuration_version:
-            self._log.event("order", order="configuration", version=version, outcome="overtaken")
+            self._log.event(
+                "order", order="configuration", version=version, outcome="overtaken"
+            )
             on_end(current)
             return
         compressed = zlib.compress(document, COMPRESSION_LEVEL)
@@ -144,7 +142,9 @@
 
     def refused(self, reason: str) -> None:
         """Record an order that was refused."""
-        self._log.event("order", order="configuration", outcome="refused", reason=reason)
+        self._log.event(
+            "order", order="configuration", outcome="refused", reason=reason
+        )
 
     def hear(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat; what is news is on its way to all when this returns."""
@@ -252,7 +252,8 @@
             (
                 follower.info
                 for follower in self._followers.values()
-                if follower.is_ready and now - follower.heard_at < FOLLOWER_SILENT_SECONDS
+                if follower.is_ready
+                and now - follower.heard_at < FOLLOWER_SILENT_SECONDS
             ),
             key=lambda info: info.address,
         )
@@ -284,5 +285,3 @@
 
 
 ControlMessage = EnsembleHostMessage | FollowControl
-EntryControlMessage = ControlNews | ChosenState
-__all__ = ["ControlHello", "ControlHost", "ControlMessage", "EntryControlMessage"]
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from kingcuppulley.backend_servers.roster import Roster, RosterTarget
-from kingcuppulley.control.ensemble_host import ChosenState, FetchState
+from kingcuppulley.control.ensemble_messages import ChosenState, FetchState
 from kingcuppulley.control.state import RoutingState
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlNews,
@@ -312,5 +312,6 @@
             for service in services
         }
         report = LoadReport(self._zone, loads)
-        for reader in sorted(readers - {None, self._address}):
-            self._send(reader, report)
+        for reader in readers:
+            if reader is not None and reader != self._address:
+                self._send(reader, report)
--- a/src/kingcuppulley/errors.py
+++ b/src/kingcuppulley/errors.py
@@ -18,6 +18,10 @@
         super().__init__(f"{file}: {key} = {value!r}: {remedy}")
 
 
+class SettingsFaults(ExceptionGroup[SettingsError]):
+    """Carry every fault of one settings file."""
+
+
 class TemplateError(KingcuppulleyError):
     """Report one fault of a template or of an account's parameters."""
 
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -32,7 +32,9 @@
     def send_to_caller(self, packet: bytes, address: str) -> None:
         """Send a packet to a caller."""
 
-    def send_to_host(self, address: str, message: PlaceFlow | FlowTaken | FlowEnded) -> None:
+    def send_to_host(
+        self, address: str, message: PlaceFlow | FlowTaken | FlowEnded
+    ) -> None:
         """Send a message to another entry host."""
 
 
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -160,9 +160,7 @@
         """Return the marks of the servers in use here and their open flows."""
         return [(cookie, load.own) for cookie, load in self._loads.items() if load.own]
 
-    def take_report(
-        self, host: str, loads: list[tuple[int, int]], now: float
-    ) -> None:
+    def take_report(self, host: str, loads: list[tuple[int, int]], now: float) -> None:
         """Take the open flows that another host placed."""
         deadline = now + REPORT_SECONDS
         reported = dict(loads)
@@ -301,9 +299,7 @@
     def _may_use_cold(self, target: RosterTarget, load: _Load, now: float) -> bool:
         return now >= load.cold_place_at and self._may_place_cold(target)
 
-    def _count(
-        self, placed: _PlacedFlow, target: RosterTarget, now: float
-    ) -> None:
+    def _count(self, placed: _PlacedFlow, target: RosterTarget, now: float) -> None:
         placed.target = target
         placed.is_counted = True
         load = self._load(target.cookie)
--- a/src/kingcuppulley/internal/http_api.py
+++ b/src/kingcuppulley/internal/http_api.py
@@ -4,12 +4,9 @@
 
 import hashlib
 import hmac
-from collections.abc import Callable
 
 import msgspec
 from twisted.web.http import Request
-from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET
 
 JSON_TYPE = "application/json"
 MAXIMUM_DOCUMENT_BYTES = 1_048_576
@@ -22,21 +19,6 @@
     remedies: list[str]
 
 
-class ApiResource(Resource):
-    """Pass every request below a path to one function."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, handle: Callable[[Request], None]) -> None:
-        super().__init__()
-        self._handle = handle
-
-    def render(self, request: Request) -> int:
-        """Pass the request on; it is answered there."""
-        self._handle(request)
-        return int(NOT_DONE_YET)
-
-
 def answer_json(request: Request, status: int, document: object) -> None:
     """Answer with a JSON document."""
     answer_text(request, status, msgspec.json.encode(document), JSON_TYPE)
--- a/src/kingcuppulley/operators/command_line.py
+++ b/src/kingcuppulley/operators/command_line.py
@@ -15,14 +15,13 @@
 import typer
 from eliot import to_file
 
-from kingcuppulley.errors import KingcuppulleyError
+from kingcuppulley.errors import KingcuppulleyError, SettingsFaults
 from kingcuppulley.operators.client import (
     AdministrationClient,
     AdministrationError,
     UnreachableError,
 )
 from kingcuppulley.settings import (
-    SettingsFaults,
     load_control_settings,
     load_entry_settings,
 )
--- a/src/kingcuppulley/platform/__main__.py
+++ b/src/kingcuppulley/platform/__main__.py
@@ -10,22 +10,10 @@
 
 from twisted.internet import reactor  # noqa: E402
 
-from kingcuppulley.control.seeded_host import ControlHost  # noqa: E402
-from kingcuppulley.internal.counters import Metrics  # noqa: E402
-from kingcuppulley.platform.calls import (  # noqa: E402
-    READY_PATH,
-    ControlCalls,
-)
-from kingcuppulley.platform.documents import decode_configuration  # noqa: E402
-from kingcuppulley.platform.packets import PlatformPackets  # noqa: E402
+from kingcuppulley.errors import SettingsFaults  # noqa: E402
 from kingcuppulley.platform.settings import load_settings, settings_file  # noqa: E402
-from kingcuppulley.seeded_composition import (  # noqa: E402
-    HandleRequest,
-    SeededControl,
-    SeededEntry,
-    watch_settings,
-)
-from kingcuppulley.settings import SettingsFaults  # noqa: E402
+from kingcuppulley.seeded.daemon import Daemon, watch_settings  # noqa: E402
+from kingcuppulley.seeded_settings import SeededSettings  # noqa: E402
 
 
 def main(role: str) -> int:
@@ -37,23 +25,29 @@
         for fault in faults.exceptions:
             print(fault, file=sys.stderr)
         return 2
-    daemon: SeededEntry | SeededControl
-    if role == "entry":
-        daemon = SeededEntry(
-            settings, reactor, PlatformPackets(), decode_configuration, READY_PATH
-        )
-    else:
-        daemon = SeededControl(settings, reactor, _build_calls)
+    daemon = _build_entry(settings) if role == "entry" else _build_control(settings)
     daemon.start()
     watch_settings(daemon, file, load_settings, reactor)
-    reactor.run(installSignalHandlers=False)  # type: ignore[attr-defined]
+    reactor.run(installSignalHandlers=False)  # type: ignore[call-arg, misc]
     return 0
 
 
-def _build_calls(
-    host: ControlHost, zones: list[str], metrics: Metrics
-) -> HandleRequest:
-    return ControlCalls(host, zones, metrics).handle
+def _build_entry(settings: SeededSettings) -> Daemon:
+    # Each role imports only what it needs: entry hosts restart often and are small.
+    from kingcuppulley.platform.documents import READY_PATH, decode_configuration
+    from kingcuppulley.platform.packets import PlatformPackets
+    from kingcuppulley.seeded.entry import SeededEntry
+
+    return SeededEntry(
+        settings, reactor, PlatformPackets(), decode_configuration, READY_PATH
+    )
+
+
+def _build_control(settings: SeededSettings) -> Daemon:
+    from kingcuppulley.platform.calls import build_calls
+    from kingcuppulley.seeded.control import SeededControl
+
+    return SeededControl(settings, reactor, build_calls)
 
 
 if __name__ == "__main__":
--- a/src/kingcuppulley/platform/calls.py
+++ b/src/kingcuppulley/platform/calls.py
@@ -7,6 +7,7 @@
 import msgspec
 from twisted.web.http import Request
 
+from kingcuppulley.control.proposer import OnState
 from kingcuppulley.control.seeded_host import ControlHost
 from kingcuppulley.control.state import RoutingState
 from kingcuppulley.errors import InvalidConfigurationError, InvalidHeartbeatError
@@ -18,9 +19,9 @@
     answer_text,
     read_body,
 )
+from kingcuppulley.internal.http_server import HandleRequest
 from kingcuppulley.platform.documents import decode_configuration, decode_heartbeat
 
-READY_PATH = b"/kingcuppulley/ready"
 _PUT = "/kingcuppulley/config/put"
 _GET = "/kingcuppulley/config/get"
 _TARGETS = "/kingcuppulley/targets/"
@@ -111,7 +112,12 @@
             self._host.set_zone(zone, call == "end", _answer_when_settled(request))
 
 
-def _answer_when_settled(request: Request):  # type: ignore[no-untyped-def]
+def build_calls(host: ControlHost, zones: list[str], metrics: Metrics) -> HandleRequest:
+    """Return what answers the calls that come to a control host."""
+    return ControlCalls(host, zones, metrics).handle
+
+
+def _answer_when_settled(request: Request) -> OnState:
     def answer(state: RoutingState | None) -> None:
         if _is_gone(request):
             return
--- a/src/kingcuppulley/platform/documents.py
+++ b/src/kingcuppulley/platform/documents.py
@@ -9,12 +9,13 @@
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
 from kingcuppulley.errors import InvalidConfigurationError, InvalidHeartbeatError
 from kingcuppulley.operators.routing import (
-    RoutedService,
     Route,
+    RoutedService,
     RoutingConfiguration,
     ServiceShare,
 )
 
+READY_PATH = b"/kingcuppulley/ready"
 _MAXIMUM_PORT = 65_535
 
 
--- a/src/kingcuppulley/platform/settings.py
+++ b/src/kingcuppulley/platform/settings.py
@@ -8,9 +8,8 @@
 
 import msgspec
 
-from kingcuppulley.errors import SettingsError
+from kingcuppulley.errors import SettingsError, SettingsFaults
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
-from kingcuppulley.settings import SettingsFaults
 
 FILE_VARIABLE = "KINGCUPPULLEY_CONFIG"
 
--- /dev/null
+++ b/src/kingcuppulley/seeded/control.py
@@ -0,0 +1,128 @@
+"""Run a control host."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from kingcuppulley.control.disk_thread import DiskThread
+from kingcuppulley.control.ensemble_host import first_vote
+from kingcuppulley.control.seeded_host import ControlHost, ControlMessage
+from kingcuppulley.control.state import Vote
+from kingcuppulley.control.vote_store import FileVoteStore
+from kingcuppulley.errors import StorageError
+from kingcuppulley.internal.clock import ProcessClock
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.datagram_link import DatagramLink
+from kingcuppulley.internal.event_log import EventLog
+from kingcuppulley.internal.http_server import HandleRequest
+from kingcuppulley.seeded.daemon import guarded, listen_datagrams, listen_requests
+from kingcuppulley.seeded_settings import SeededSettings
+
+TICK_SECONDS = 0.02
+LEAVE_SECONDS = 1.5
+
+
+class SeededControl:
+    """Run one control host until it has left."""
+
+    def __init__(
+        self,
+        settings: SeededSettings,
+        reactor: Any,
+        build_calls: Callable[[ControlHost, list[str], Metrics], HandleRequest],
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = ProcessClock()
+        self._metrics = Metrics()
+        self.log = EventLog(settings.name, self._metrics, self._clock.now)
+        process = os.urandom(8).hex()
+        store = FileVoteStore(Path(settings.data_folder))
+        vote = store.read()
+        if vote is None:
+            vote = first_vote(
+                str(settings.peer),
+                settings.seeds,
+                f"disk:{process}",
+                settings.is_first_start,
+            )
+            _write_first(store, vote, self.log)
+        self._disk = DiskThread(store, reactor)
+        self._disk.on_written = self._written
+        self._link = DatagramLink(ControlMessage, self._receive, self._metrics)
+        self._host = ControlHost(
+            str(settings.peer),
+            settings.zone,
+            process,
+            vote,
+            self._disk,
+            self._link,
+            settings.seeds,
+            2 * settings.losses_borne + 1,
+            settings.heartbeat_seconds,
+            self.log,
+            Random(os.urandom(8)),
+            self._clock.now,
+        )
+        self._handle = build_calls(self._host, settings.zones, self._metrics)
+        self._ticker = LoopingCall(self._tick)
+
+    def start(self) -> None:
+        """Open every socket and begin to vote."""
+        settings = self._settings
+        self._disk.start()
+        listen_datagrams(self._reactor, settings.peer, self._link)
+        if settings.control is not None:
+            listen_requests(self._reactor, settings.control, self._handle)
+        self._ticker.start(TICK_SECONDS)
+        self.log.always(
+            "started",
+            zone=settings.zone,
+            seeds=settings.seeds,
+            store=self._host.ensemble.voter.vote.store,
+        )
+
+    def reload(self, settings: SeededSettings) -> None:
+        """Take settings that changed."""
+        self._host.ensemble.use_seeds(settings.seeds)
+        self.log.always("reloaded", seeds=settings.seeds)
+
+    def leave(self) -> None:
+        """Tell the others, wait for a successor's turn, then stop."""
+        self.log.always("leaving")
+        self._host.ensemble.leave(self._clock.now())
+        self._reactor.callLater(LEAVE_SECONDS, self._stop)
+
+    def _stop(self) -> None:
+        self.log.always("stopped")
+        self._ticker.stop()
+        self._reactor.stop()
+
+    def _receive(self, address: str, message: object) -> None:
+        self._host.receive(address, message)
+
+    def _written(self, failure: StorageError | None) -> None:
+        if failure is not None:
+            self._metrics.count("votes_not_written")
+            self.log.event("vote not written", reason=str(failure))
+        self._host.ensemble.written(failure is None, self._clock.now())
+
+    def _tick(self) -> None:
+        guarded(self._host.tick, self._clock.now(), self._metrics)
+        self.log.flush()
+
+
+def _write_first(store: FileVoteStore, vote: Vote, log: EventLog) -> None:
+    # The name of this disk must be durable before anyone counts it; until it can be
+    # written nothing else makes sense.
+    try:
+        store.write(vote)
+    except StorageError as error:
+        log.always("first vote not written", reason=str(error))
+        raise
--- /dev/null
+++ b/src/kingcuppulley/seeded/entry.py
@@ -0,0 +1,160 @@
+"""Run an entry host."""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol
+from twisted.internet.task import LoopingCall
+from twisted.web.http import Request
+
+from kingcuppulley.control.ensemble_messages import ChosenState
+from kingcuppulley.entry_hosts.seeded_host import EntryNode
+from kingcuppulley.entry_hosts.seeded_messages import ControlNews, EntryMessage
+from kingcuppulley.fabric.formats import PacketFormat
+from kingcuppulley.internal.clock import ProcessClock
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.datagram_link import DatagramLink
+from kingcuppulley.internal.event_log import EventLog
+from kingcuppulley.internal.http_api import answer_text
+from kingcuppulley.operators.routing import RoutingConfiguration
+from kingcuppulley.seeded.daemon import guarded, listen_datagrams, listen_requests
+from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
+
+TICK_SECONDS = 0.02
+LEAVE_SECONDS = 2.0
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+
+class PacketSocket(DatagramProtocol):
+    """Own the socket that callers' packets come to."""
+
+    def __init__(self, settings: SocketAddress, metrics: Metrics) -> None:
+        self._settings = settings
+        self._counts = metrics.counts
+        self.on_packet: Callable[[bytes], None] = _drop
+
+    def startProtocol(self) -> None:  # noqa: N802
+        """Ask for room for bursts."""
+        self.transport.socket.setsockopt(  # type: ignore[union-attr]
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
+        """Pass a packet on."""
+        self.on_packet(datagram)
+
+    def send(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
+        """Send a datagram, or count it as dropped."""
+        try:
+            self.transport.socket.sendto(datagram, endpoint)  # type: ignore[union-attr]
+        except OSError:
+            self._counts["packets_not_sent"] += 1
+
+    def send_to_target(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
+        """Send a datagram to a backend server."""
+        self.send(datagram, endpoint)
+
+    def send_to_caller(self, packet: bytes, address: str) -> None:
+        """Send a packet to a caller, at the port that callers' packets come to."""
+        self.send(packet, (address, self._settings.port))
+
+
+class EntryPort:
+    """Send what the router decides."""
+
+    __slots__ = ("send_to_target", "send_to_caller", "send_to_host")
+
+    def __init__(self, packets: PacketSocket, link: DatagramLink) -> None:
+        self.send_to_target = packets.send_to_target
+        self.send_to_caller = packets.send_to_caller
+        self.send_to_host = link.send
+
+
+class SeededEntry:
+    """Run one entry host until it has left."""
+
+    def __init__(
+        self,
+        settings: SeededSettings,
+        reactor: Any,
+        packets: PacketFormat,
+        decode: Callable[[bytes], RoutingConfiguration],
+        ready_path: bytes,
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._ready_path = ready_path
+        self._clock = ProcessClock()
+        self._metrics = Metrics()
+        self.log = EventLog(settings.name, self._metrics, self._clock.now)
+        messages = EntryMessage | ControlNews | ChosenState
+        self._link = DatagramLink(messages, self._receive, self._metrics)
+        assert settings.packets is not None
+        self._packets = PacketSocket(settings.packets, self._metrics)
+        self._node = EntryNode(
+            str(settings.peer),
+            settings.zone,
+            settings.seeds,
+            packets,
+            decode,
+            EntryPort(self._packets, self._link),
+            self._link.send,
+            self._metrics,
+            self.log,
+            Random(os.urandom(8)),
+        )
+        self._packets.on_packet = self._packet
+        self._ticker = LoopingCall(self._tick)
+
+    def start(self) -> None:
+        """Open every socket and begin to follow control hosts."""
+        settings = self._settings
+        listen_datagrams(self._reactor, settings.peer, self._link)
+        assert settings.packets is not None
+        listen_datagrams(self._reactor, settings.packets, self._packets)
+        if settings.ready is not None:
+            listen_requests(self._reactor, settings.ready, self._answer)
+        self._ticker.start(TICK_SECONDS)
+        self.log.always("started", zone=settings.zone, seeds=settings.seeds)
+
+    def reload(self, settings: SeededSettings) -> None:
+        """Take settings that changed."""
+        self._node.use_seeds(settings.seeds)
+        self.log.always("reloaded", seeds=settings.seeds)
+
+    def leave(self) -> None:
+        """Leave the rotation, then stop."""
+        self.log.always("leaving")
+        self._node.leave(self._clock.now())
+        self._reactor.callLater(LEAVE_SECONDS, self._stop)
+
+    def _stop(self) -> None:
+        self.log.always("stopped")
+        self._ticker.stop()
+        self._reactor.stop()
+
+    def _packet(self, packet: bytes) -> None:
+        self._node.router.packet_from_fabric(packet, self._clock.now())
+
+    def _receive(self, address: str, message: object) -> None:
+        self._node.receive(address, message, self._clock.now())
+
+    def _tick(self) -> None:
+        guarded(self._node.tick, self._clock.now(), self._metrics)
+        self.log.flush()
+
+    def _answer(self, request: Request) -> None:
+        if request.path == self._ready_path:
+            status = 200 if self._node.is_ready else 503
+            answer_text(request, status, b"", "text/plain")
+        else:
+            answer_text(request, 200, self._metrics.render().encode(), "text/plain")
+
+
+def _drop(_: bytes) -> None:
+    """Take a packet that comes before anyone routes."""
--- a/src/kingcuppulley/settings.py
+++ b/src/kingcuppulley/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from kingcuppulley.entry_hosts.membership import HostAddress
-from kingcuppulley.errors import SettingsError
+from kingcuppulley.errors import SettingsError, SettingsFaults
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
@@ -18,10 +18,6 @@
 Settings = TypeVar("Settings", bound=msgspec.Struct)
 
 
-class SettingsFaults(ExceptionGroup[SettingsError]):
-    """Carry every fault of one settings file."""
-
-
 class FabricSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Say where packets come from and where resets go back to.
 
