Let an entry host leave only once its zone can spare it

Cause: hosts of a zone that are stopped in turn overlapped (1.2 s apart, 3 s each), so fewer than half were in rotation and callers' packets went to hosts that were down. Change: after SIGTERM a host stays in rotation until half of its zone's hosts carry traffic without it, within the grace that the settings give. Test: test_stewards, pattern of a rolling restart.

--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -147,6 +147,10 @@
         """Take the control hosts that the settings name now."""
         self._seeds = seeds
 
+    def can_be_spared(self, now: float) -> bool:
+        """Return whether the zone's other hosts can carry its traffic."""
+        return self._stewards.can_spare_own(now)
+
     def leave(self, now: float) -> None:
         """Tell the others that this host stops soon."""
         self._is_leaving = True
@@ -241,7 +245,7 @@
             if now - source.heard_at < SOURCE_SILENT_SECONDS
             for info in source.hosts
         }
-        self._stewards.update(list(hosts.values()))
+        self._stewards.update(list(hosts.values()), now)
 
     def _changed(self, targets: list[RosterTarget]) -> None:
         for target in targets:
--- a/src/kingcuppulley/entry_hosts/stewards.py
+++ b/src/kingcuppulley/entry_hosts/stewards.py
@@ -7,6 +7,7 @@
 
 SUSPECT_SECONDS = 1.0
 ZONE_SILENT_SECONDS = 0.7
+REMEMBERED_SECONDS = 15.0
 
 
 class Stewards:
@@ -23,10 +24,14 @@
         self._suspects: dict[str, float] = {}
         self._reported_at: dict[str, float] = {}
         self._ranks: dict[tuple[str, str], list[str]] = {}
+        self._seen_at: dict[str, float] = {}
 
-    def update(self, hosts: list[EntryHostInfo]) -> None:
+    def update(self, hosts: list[EntryHostInfo], now: float) -> None:
         """Take the entry hosts that control hosts have heard of."""
         fresh = {host.address: host for host in hosts}
+        for host in hosts:
+            if host.zone == self._zone:
+                self._seen_at[host.address] = now
         if fresh != self._hosts:
             self._hosts = fresh
             self._ranks.clear()
@@ -42,6 +47,25 @@
                 return address
         return None
 
+    def can_spare_own(self, now: float) -> bool:
+        """Return whether half of the zone's hosts carry traffic without this one.
+
+        Where fewer do, callers' packets go to all hosts, those that are down too.
+        """
+        lately = [
+            address
+            for address, seen_at in self._seen_at.items()
+            if now - seen_at < REMEMBERED_SECONDS
+        ]
+        others = [
+            host
+            for host in self._hosts.values()
+            if host.zone == self._zone
+            and host.address != self._address
+            and not host.is_leaving
+        ]
+        return 2 * len(others) >= len(lately)
+
     def take_report(self, zone: str, now: float) -> None:
         """Note that a zone was heard."""
         self._reported_at[zone] = now
--- a/src/kingcuppulley/platform/__main__.py
+++ b/src/kingcuppulley/platform/__main__.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 
-from twisted.internet import epollreactor
+# Nothing that is made while a process starts is garbage.
+gc.disable()
+
+from twisted.internet import epollreactor  # noqa: E402
 
 epollreactor.install()
 
@@ -28,6 +32,8 @@
     daemon = _build_entry(settings) if role == "entry" else _build_control(settings)
     daemon.start()
     watch_settings(daemon, file, load_settings, reactor)
+    gc.freeze()
+    gc.enable()
     reactor.run(installSignalHandlers=False)  # type: ignore[call-arg, misc]
     return 0
 
--- a/src/kingcuppulley/platform/settings.py
+++ b/src/kingcuppulley/platform/settings.py
@@ -25,6 +25,10 @@
     machines: int = 1
 
 
+class _Bounds(msgspec.Struct):
+    grace_s: float = 6.0
+
+
 class _Settings(msgspec.Struct):
     # `internal_ports` are the first and last port that own processes may use.
     node: str
@@ -38,6 +42,7 @@
     heartbeat_ms: int = 1000
     data_dir: str = ""
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
 def settings_file() -> Path:
@@ -67,6 +72,7 @@
         is_first_start=read.bootstrap,
         losses_borne=read.tolerate.machines,
         heartbeat_seconds=read.heartbeat_ms / 1000,
+        grace_seconds=read.bounds.grace_s,
         packets=_address(read.listen.packet_addr),
         ready=_address(read.listen.ready),
         control=_address(read.listen.control),
--- a/src/kingcuppulley/seeded/control.py
+++ b/src/kingcuppulley/seeded/control.py
@@ -71,6 +71,7 @@
             self._clock.now,
         )
         self._handle = build_calls(self._host, settings.zones, self._metrics)
+        self._is_leaving = False
         self._ticker = LoopingCall(self._tick)
 
     def start(self) -> None:
@@ -95,6 +96,9 @@
 
     def leave(self) -> None:
         """Tell the others, wait for a successor's turn, then stop."""
+        if self._is_leaving:
+            return
+        self._is_leaving = True
         self.log.always("leaving")
         self._host.ensemble.leave(self._clock.now())
         self._reactor.callLater(LEAVE_SECONDS, self._stop)
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -26,7 +26,9 @@
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 TICK_SECONDS = 0.02
-LEAVE_SECONDS = 2.0
+LEAVE_SECONDS = 1.3
+SPARED_SECONDS = 0.6
+STOP_SLACK_SECONDS = 0.3
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
@@ -109,6 +111,9 @@
             Random(os.urandom(8)),
         )
         self._packets.on_packet = self._packet
+        self._stop_deadline: float | None = None
+        self._spared_at = 0.0
+        self._is_leaving = False
         self._ticker = LoopingCall(self._tick)
 
     def start(self) -> None:
@@ -128,9 +133,30 @@
         self.log.always("reloaded", seeds=settings.seeds)
 
     def leave(self) -> None:
-        """Leave the rotation, then stop."""
+        """Leave the rotation once the zone can spare this host, then stop."""
+        if self._stop_deadline is not None:
+            return
+        now = self._clock.now()
+        self._stop_deadline = now + self._settings.grace_seconds - STOP_SLACK_SECONDS
+        self._spared_at = now + SPARED_SECONDS
+        self.log.always("told to stop", can_be_spared=self._node.can_be_spared(now))
+        if self._node.can_be_spared(now):
+            self._begin_leaving(now)
+
+    def _watch_leaving(self, now: float) -> None:
+        if self._stop_deadline is None or self._is_leaving:
+            return
+        if not self._node.can_be_spared(now):
+            # Others of the zone are back in rotation only some probes after they
+            # say that they are ready.
+            self._spared_at = now + SPARED_SECONDS
+        if now >= self._spared_at or now >= self._stop_deadline - LEAVE_SECONDS:
+            self._begin_leaving(now)
+
+    def _begin_leaving(self, now: float) -> None:
+        self._is_leaving = True
         self.log.always("leaving")
-        self._node.leave(self._clock.now())
+        self._node.leave(now)
         self._reactor.callLater(LEAVE_SECONDS, self._stop)
 
     def _stop(self) -> None:
@@ -145,7 +171,9 @@
         self._node.receive(address, message, self._clock.now())
 
     def _tick(self) -> None:
-        guarded(self._node.tick, self._clock.now(), self._metrics)
+        now = self._clock.now()
+        guarded(self._node.tick, now, self._metrics)
+        self._watch_leaving(now)
         self.log.flush()
 
     def _answer(self, request: Request) -> None:
--- a/src/kingcuppulley/seeded_settings.py
+++ b/src/kingcuppulley/seeded_settings.py
@@ -28,6 +28,8 @@
         Whether the whole deployment starts for the first time, with empty disks.
     losses_borne : int
         How many disks may be lost at a time.
+    grace_seconds : float
+        How long after SIGTERM the process is killed.
     """
 
     name: str
@@ -38,6 +40,7 @@
     is_first_start: bool
     losses_borne: int
     heartbeat_seconds: float
+    grace_seconds: float
     packets: SocketAddress | None = None
     ready: SocketAddress | None = None
     control: SocketAddress | None = None
--- /dev/null
+++ b/tests/cover/test_stewards.py
@@ -0,0 +1,73 @@
+"""Check which entry host places flows, and when one may leave."""
+
+from __future__ import annotations
+
+from kingcuppulley.entry_hosts.seeded_messages import EntryHostInfo
+from kingcuppulley.entry_hosts.stewards import (
+    SUSPECT_SECONDS,
+    ZONE_SILENT_SECONDS,
+    Stewards,
+)
+
+SERVICE = "order-desk"
+
+
+def hosts(*names: str, leaving: tuple[str, ...] = ()) -> list[EntryHostInfo]:
+    return [EntryHostInfo(name, f"zone-{name[0]}", name in leaving) for name in names]
+
+
+def stewards_of(*names: str, own: str = "a1") -> Stewards:
+    stewards = Stewards(own, f"zone-{own[0]}")
+    stewards.update(hosts(*names), 0.0)
+    return stewards
+
+
+def test_all_hosts_of_a_zone_agree_on_the_steward():
+    names = ["a1", "a2", "a3", "b1"]
+    chosen = {
+        stewards_of(*names, own=own).steward("zone-a", SERVICE, 0.0) for own in names
+    }
+    assert len(chosen) == 1
+    assert chosen <= {"a1", "a2", "a3"}
+
+
+def test_a_host_that_does_not_answer_is_passed_over_for_a_while():
+    stewards = stewards_of("a1", "a2", "a3")
+    first = stewards.steward("zone-a", SERVICE, 0.0)
+    assert first is not None
+    stewards.suspect(first, 0.0)
+    assert stewards.steward("zone-a", SERVICE, 0.1) not in (first, None)
+    assert stewards.steward("zone-a", SERVICE, SUSPECT_SECONDS) == first
+
+
+def test_a_host_that_leaves_places_nothing_more():
+    stewards = stewards_of("a1", "a2")
+    first = stewards.steward("zone-a", SERVICE, 0.0)
+    assert first is not None
+    stewards.update(hosts("a1", "a2", leaving=(first,)), 1.0)
+    assert stewards.steward("zone-a", SERVICE, 1.0) not in (first, None)
+
+
+def test_a_zone_that_falls_silent_is_noticed_and_one_never_heard_is_not():
+    stewards = stewards_of("a1", "b1", "c1")
+    stewards.take_report("zone-b", 1.0)
+    assert stewards.unreached_zones(1.0 + ZONE_SILENT_SECONDS / 2) == frozenset()
+    late = 1.0 + 2 * ZONE_SILENT_SECONDS
+    assert stewards.unreached_zones(late) == frozenset({"zone-b"})
+
+
+def test_a_host_may_leave_while_half_of_its_zone_stays():
+    stewards = stewards_of("a1", "a2", "a3", "b1")
+    assert stewards.can_spare_own(0.0)
+
+
+def test_pattern_rolling_restart_of_a_small_zone_waits_for_each_host():
+    stewards = stewards_of("a1", "a2", "a3")
+    stewards.update(hosts("a1", "a3"), 2.0)
+    assert not stewards.can_spare_own(2.0)
+    stewards.update(hosts("a1", "a2", "a3"), 4.0)
+    assert stewards.can_spare_own(4.0)
+
+
+def test_the_last_host_of_a_zone_is_never_spared():
+    assert not stewards_of("a1").can_spare_own(0.0)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -24,6 +24,8 @@
 ready = "10.1.0.10:8167"
 [tolerate]
 machines = 2
+[bounds]
+grace_s = 6
 """
 
 
