--- a/src/kingcuppulley/control/vote_store.py
+++ b/src/kingcuppulley/control/vote_store.py
@@ -14,6 +14,7 @@
 from kingcuppulley.errors import StorageError
 
 _HEADER = struct.Struct("!QII")
+_GENERATION = struct.Struct("!Q")
 _SLOTS = ("vote-0", "vote-1")
 
 
@@ -106,7 +107,7 @@
 
 
 def _checksum(generation: int, payload: bytes) -> int:
-    return zlib.crc32(payload, generation & 0xFFFFFFFF)
+    return zlib.crc32(payload, zlib.crc32(_GENERATION.pack(generation)))
 
 
 def _write_all(descriptor: int, data: bytes) -> None:
--- a/src/kingcuppulley/internal/event_log.py
+++ b/src/kingcuppulley/internal/event_log.py
@@ -15,6 +15,7 @@
 LINES_PER_SECOND = 60
 BURST_LINES = 120
 MAXIMUM_WAITING_BYTES = 256 * 1024
+STANDARD_OUTPUT = 1
 
 
 class BoundedOutput:
@@ -63,7 +64,11 @@
     """Record events of one process within a budget of lines a second."""
 
     def __init__(
-        self, process: str, metrics: Metrics, clock: Callable[[], float]
+        self,
+        process: str,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        descriptor: int = STANDARD_OUTPUT,
     ) -> None:
         self._process = process
         self._metrics = metrics
@@ -71,19 +76,21 @@
         self._credit = float(BURST_LINES)
         self._credited_at = clock()
         self._left_out = 0
-        self._output = BoundedOutput(1, metrics)
+        self._output = BoundedOutput(descriptor, metrics)
         add_destinations(self._output)
 
+    @property
+    def output(self) -> BoundedOutput:
+        """Return where lines go."""
+        return self._output
+
     def event(self, kind: str, **fields: object) -> None:
         """Record one change of belief or decision, unless the budget is spent."""
-        if not self._has_credit():
+        if self._has_credit():
+            self._write(kind, fields)
+        else:
             self._left_out += 1
             self._metrics.count("log_lines_left_out")
-            return
-        if self._left_out:
-            self._write("left out", {"lines": self._left_out})
-            self._left_out = 0
-        self._write(kind, fields)
 
     def always(self, kind: str, **fields: object) -> None:
         """Record a start, stop, reload or dependency whatever the budget."""
@@ -94,7 +101,12 @@
         self._output.flush()
 
     def _write(self, kind: str, fields: dict[str, Any]) -> None:
-        log_message(f"kingcuppulley:{kind}", **{**fields, "process": self._process})
+        fields["process"] = self._process
+        if self._left_out:
+            # The line says how many went before it unwritten.
+            fields["left_out"] = self._left_out
+            self._left_out = 0
+        log_message(f"kingcuppulley:{kind}", **fields)
 
     def _has_credit(self) -> bool:
         now = self._clock()
--- /dev/null
+++ b/tests/cover/test_cookie_router.py
@@ -0,0 +1,251 @@
+"""Check that each packet of a flow reaches its own server, whichever host takes it."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from kingcuppulley.backend_servers.heartbeats import ServingState
+from kingcuppulley.backend_servers.roster import Roster
+from kingcuppulley.entry_hosts.seeded_messages import (
+    EntryHostInfo,
+    FlowEnded,
+    FlowTaken,
+    PlaceFlow,
+)
+from kingcuppulley.entry_hosts.stewards import Stewards
+from kingcuppulley.errors import MalformedPacketError
+from kingcuppulley.fabric.cookie_router import STEWARD_ANSWER_SECONDS, CookieRouter
+from kingcuppulley.fabric.formats import FlowPacket
+from kingcuppulley.fabric.placement import Placement
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.operators.routing import (
+    Route,
+    RoutedService,
+    RoutingConfiguration,
+    RoutingTable,
+    ServiceShare,
+)
+from tests.seeded_fakes import heard
+
+KEY = b"address:port"
+OWN, OTHER = "a1", "a2"
+
+
+class WordPackets:
+    """Read packets written as words: flow, kind, mark."""
+
+    def read(self, packet: bytes) -> FlowPacket:
+        words = packet.split()
+        if len(words) != 3:
+            raise MalformedPacketError("write flow, kind and mark")
+        flow, kind, cookie = words
+        return FlowPacket(
+            flow, KEY, kind == b"open", kind == b"end", 0, int(cookie.decode())
+        )
+
+    def to_target(self, packet: bytes, identity: bytes, cookie: int) -> bytes:
+        return identity + packet
+
+    def reset(self, flow: bytes) -> tuple[bytes, str]:
+        return b"reset " + flow, "caller"
+
+
+class Recorder:
+    """Keep what a router sends and decides."""
+
+    def __init__(self) -> None:
+        self.to_targets: list[tuple[bytes, tuple[str, int]]] = []
+        self.to_callers: list[bytes] = []
+        self.to_hosts: list[tuple[str, object]] = []
+        self.decisions: list[tuple[str, str]] = []
+
+    def send_to_target(self, datagram, endpoint):
+        self.to_targets.append((datagram, endpoint))
+
+    def send_to_caller(self, packet, address):
+        self.to_callers.append(packet)
+
+    def send_to_host(self, address, message):
+        self.to_hosts.append((address, message))
+
+    def decided(self, flow, what, reason, target):
+        self.decisions.append((what, reason))
+
+
+def configuration(version: int, *services: str) -> RoutingConfiguration:
+    shares = tuple(ServiceShare(service, 1) for service in services)
+    routes = (Route("route", KEY, shares, 1.0, 0.1, 1),) if services else ()
+    return RoutingConfiguration(
+        version, routes, tuple(RoutedService(name, 2.0, 0.0) for name in services)
+    )
+
+
+class Host:
+    """Wire one entry host's router to a recorder."""
+
+    def __init__(self, *hosts: str) -> None:
+        self.sent = Recorder()
+        self.roster = Roster()
+        self.table = RoutingTable()
+        self.table.update(configuration(1, "order-desk"))
+        self.stewards = Stewards(OWN, "zone-a")
+        infos = [EntryHostInfo(name, "zone-a", False) for name in hosts]
+        self.stewards.update(infos, 0.0)
+        self.metrics = Metrics()
+        placement = Placement(
+            "zone-a", self.roster, Random(1), lambda *held: self.router.released(*held)
+        )
+        self.router = CookieRouter(
+            OWN,
+            "zone-a",
+            WordPackets(),
+            self.sent,
+            self.table,
+            self.roster,
+            self.stewards,
+            placement,
+            self.metrics,
+            self.sent,
+        )
+        self.router.is_ready = True
+        self.hear(heard("i-1", host="10.0.0.1"), heard("i-2", host="10.0.0.2"))
+
+    def hear(self, *servers, change=1):
+        self.roster.update("control", "life", change, list(servers), 0.0)
+
+    def packet(self, text: str, now: float = 0.0) -> None:
+        self.router.packet_from_fabric(text.encode(), now)
+
+    def mark(self, name: str) -> int:
+        return next(t.cookie for t in self.roster.targets if t.name == name)
+
+
+def test_a_new_flow_is_sent_to_a_server_with_its_identity():
+    host = Host(OWN)
+    host.packet("flow open 0")
+    datagram, endpoint = host.sent.to_targets[0]
+    assert endpoint in (("10.0.0.1", 80), ("10.0.0.2", 80))
+    assert datagram[:8] in (bytes(7) + b"\1", bytes(7) + b"\2")
+
+
+@pytest.mark.parametrize("name", ["i-1", "i-2"])
+def test_any_host_carries_a_flow_that_it_has_never_seen(name):
+    host = Host(OWN)
+    host.packet(f"flow data {host.mark(name)}")
+    assert host.sent.to_targets[0][1][0] == f"10.0.0.{name[-1]}"
+
+
+def test_a_mark_that_is_not_known_is_neither_guessed_nor_reset():
+    host = Host(OWN)
+    host.packet("flow data 12345")
+    assert not host.sent.to_targets
+    assert not host.sent.to_callers
+
+
+def test_a_host_that_has_just_started_resets_nothing():
+    host = Host(OWN)
+    host.router.is_ready = False
+    host.packet("flow open 0")
+    host.packet("flow data 12345")
+    assert not host.sent.to_callers
+
+
+def test_flows_stay_with_a_server_that_drains():
+    host = Host(OWN)
+    mark = host.mark("i-1")
+    host.hear(heard("i-1", sequence=2, state=ServingState.DRAINING), change=2)
+    host.packet(f"flow data {mark}")
+    assert host.sent.to_targets
+    for number in range(8):
+        host.packet(f"flow-{number} open 0")
+    assert all(datagram[7] == 2 for datagram, _ in host.sent.to_targets[1:])
+
+
+def test_a_flow_keeps_its_server_when_a_version_moves_the_route():
+    host = Host(OWN)
+    mark = host.mark("i-1")
+    host.table.update(configuration(2, "drawing-store"))
+    host.packet(f"flow data {mark}")
+    assert host.sent.to_targets
+
+
+def test_a_flow_never_reaches_a_service_that_its_route_never_named():
+    host = Host(OWN)
+    host.hear(heard("i-3", service="drawing-store"), change=2)
+    host.packet(f"flow data {host.mark('i-3')}")
+    assert not host.sent.to_targets
+
+
+def test_a_removed_route_gives_its_flows_up_and_refuses_new_ones():
+    host = Host(OWN)
+    host.table.update(configuration(2))
+    host.packet(f"flow data {host.mark('i-1')}")
+    host.packet("other open 0")
+    assert not host.sent.to_targets
+    assert host.sent.to_callers == [b"reset other"]
+
+
+def test_an_older_version_is_never_put_in_force():
+    host = Host(OWN)
+    host.table.update(configuration(5, "order-desk"))
+    assert not host.table.update(configuration(4, "drawing-store"))
+    assert host.table.version == 5
+
+
+def steward_host() -> Host:
+    """Return a host whose zone's steward is another one."""
+    host = Host(OWN, OTHER)
+    if host.stewards.steward("zone-a", "order-desk", 0.0) == OWN:
+        infos = [EntryHostInfo(OTHER, "zone-a", False)]
+        host.stewards.update(infos, 0.0)
+    return host
+
+
+def test_a_new_flow_is_placed_by_the_steward():
+    host = steward_host()
+    host.packet("flow open 0")
+    address, message = host.sent.to_hosts[0]
+    assert address == OTHER
+    assert isinstance(message, PlaceFlow)
+    assert not host.sent.to_targets
+
+
+def test_a_steward_that_does_not_answer_is_replaced_at_once():
+    host = steward_host()
+    host.packet("flow open 0")
+    host.router.tick(STEWARD_ANSWER_SECONDS + 0.01)
+    assert len(host.sent.to_targets) == 1
+    host.packet("other open 0", STEWARD_ANSWER_SECONDS + 0.02)
+    assert len(host.sent.to_targets) == 2
+
+
+def test_a_steward_that_answered_is_left_to_it():
+    host = steward_host()
+    host.packet("flow open 0")
+    host.router.flow_taken(FlowTaken(b"flow"))
+    host.router.tick(1.0)
+    assert not host.sent.to_targets
+
+
+def test_the_end_of_a_flow_is_told_to_its_steward():
+    host = steward_host()
+    host.packet("flow open 0")
+    host.packet(f"flow end {host.mark('i-1')}", 0.1)
+    assert host.sent.to_hosts[-1] == (OTHER, FlowEnded(b"flow"))
+
+
+def test_without_a_server_a_new_flow_is_reset_at_once():
+    host = Host(OWN)
+    for name in ("i-1", "i-2"):
+        host.hear(heard(name, sequence=2, state=ServingState.SILENT), change=2)
+    host.packet("flow open 0")
+    assert host.sent.to_callers == [b"reset flow"]
+
+
+def test_a_packet_that_cannot_be_read_is_counted_and_dropped():
+    host = Host(OWN)
+    host.packet("nonsense")
+    assert host.metrics.counts["packets_malformed"] == 1
+    assert not host.sent.to_targets
--- /dev/null
+++ b/tests/cover/test_event_log.py
@@ -0,0 +1,92 @@
+"""Check that the log is bounded and never waits for its reader."""
+
+from __future__ import annotations
+
+import os
+import time
+
+import msgspec
+from eliot import remove_destination
+
+from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.event_log import (
+    BURST_LINES,
+    MAXIMUM_WAITING_BYTES,
+    BoundedOutput,
+    EventLog,
+)
+
+
+def lines_of(descriptor: int) -> list[dict]:
+    os.set_blocking(descriptor, False)
+    data = b""
+    while True:
+        try:
+            chunk = os.read(descriptor, 1 << 20)
+        except BlockingIOError:
+            break
+        if not chunk:
+            break
+        data += chunk
+    return [msgspec.json.decode(line) for line in data.splitlines()]
+
+
+def test_a_pipe_that_nobody_reads_delays_nothing_and_losses_are_counted():
+    reader, writer = os.pipe()
+    metrics = Metrics()
+    output = BoundedOutput(writer, metrics)
+    begun = time.monotonic()
+    for number in range(20_000):
+        output({"message_type": "flow", "number": number})
+    assert time.monotonic() - begun < 30
+    assert metrics.counts["log_lines_lost"] > 0
+    assert output._waiting_bytes <= MAXIMUM_WAITING_BYTES
+    first = lines_of(reader)
+    output.flush()
+    later = lines_of(reader)
+    numbers = [line["number"] for line in first + later]
+    assert numbers == sorted(numbers)
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_is_gone_costs_lines_only():
+    reader, writer = os.pipe()
+    os.close(reader)
+    metrics = Metrics()
+    output = BoundedOutput(writer, metrics)
+    output({"message_type": "flow"})
+    assert metrics.counts["log_lines_lost"] == 1
+    os.close(writer)
+
+
+def logged(write) -> list[dict]:
+    reader, writer = os.pipe()
+    metrics = Metrics()
+    log = EventLog("host-a", metrics, lambda: 5.0, descriptor=writer)
+    try:
+        write(log)
+    finally:
+        remove_destination(log.output)
+    lines = lines_of(reader)
+    os.close(reader)
+    os.close(writer)
+    return lines
+
+
+def test_lines_beyond_the_budget_are_left_out_and_said_so():
+    def write(log):
+        for number in range(BURST_LINES + 50):
+            log.event("flow", number=number)
+        log.always("stopped")
+
+    lines = logged(write)
+    assert len(lines) == BURST_LINES + 1
+    assert lines[-1]["message_type"] == "kingcuppulley:stopped"
+    assert lines[-1]["left_out"] == 50
+
+
+def test_a_field_may_have_any_name():
+    lines = logged(lambda log: log.event("heard", host="other", process="other"))
+    assert lines[0]["host"] == "other"
+    assert lines[0]["process"] == "host-a"
