Serve metrics, and tell a flow's story from the logs of all processes

Counters, gauges and latency histograms at the metrics address of both roles; kingcuppulley explain and kingcuppulley flow go from a caller's address to what each process decided.

--- a/src/kingcuppulley/control/disk_thread.py
+++ b/src/kingcuppulley/control/disk_thread.py
@@ -4,12 +4,14 @@
 
 import queue
 import threading
+import time
 from collections.abc import Callable
 from typing import Protocol
 
 from kingcuppulley.control.state import Vote
 from kingcuppulley.control.vote_store import VoteStore
 from kingcuppulley.errors import StorageError
+from kingcuppulley.internal.counters import Metrics
 
 
 class MainThread(Protocol):
@@ -22,9 +24,10 @@
 class DiskThread:
     """Own the disk; one write is under way at a time."""
 
-    def __init__(self, store: VoteStore, reactor: MainThread) -> None:
+    def __init__(self, store: VoteStore, reactor: MainThread, metrics: Metrics) -> None:
         self._store = store
         self._reactor = reactor
+        self._metrics = metrics
         self._votes: queue.SimpleQueue[Vote] = queue.SimpleQueue()
         self.on_written: Callable[[StorageError | None], None] = _ignore
 
@@ -40,13 +43,16 @@
         while True:
             vote = self._votes.get()
             failure: StorageError | None = None
+            begun_at = time.monotonic()
             try:
                 self._store.write(vote)
             except StorageError as error:
                 failure = error
-            self._reactor.callFromThread(self._tell, failure)
+            seconds = time.monotonic() - begun_at
+            self._reactor.callFromThread(self._tell, failure, seconds)
 
-    def _tell(self, failure: StorageError | None) -> None:
+    def _tell(self, failure: StorageError | None, seconds: float) -> None:
+        self._metrics.observe_seconds("vote_write", seconds)
         self.on_written(failure)
 
 
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -28,6 +28,7 @@
     EntryHostInfo,
     FollowControl,
 )
+from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.rendezvous import hash_bytes
 
 ANSWER_SECONDS = 0.9
@@ -80,6 +81,7 @@
         desired_voters: int,
         heartbeat_seconds: float,
         log: EventLog,
+        metrics: Metrics,
         generator: Random,
         clock: Callable[[], float],
     ) -> None:
@@ -87,7 +89,10 @@
         self._instance = process
         self._port = port
         self._log = log
+        self._metrics = metrics
         self._clock = clock
+        self._heard_at = 0.0
+        self._chosen_at = 0.0
         self._ledger = HeartbeatLedger(heartbeat_seconds)
         self._followers: dict[str, _Follower] = {}
         self._hosts: list[EntryHostInfo] = []
@@ -132,7 +137,28 @@
 
     def read(self, on_end: OnState) -> None:
         """Read the state that a quorum confirms, or None."""
-        self._ensemble.read(on_end, self._clock() + ANSWER_SECONDS)
+        asked_at = self._clock()
+
+        def end(state: RoutingState | None) -> None:
+            self._metrics.count("reads_certain" if state else "reads_not_certain")
+            self._metrics.observe_seconds("read", self._clock() - asked_at)
+            on_end(state)
+
+        self._ensemble.read(end, asked_at + ANSWER_SECONDS)
+
+    def update_gauges(self, gauges: dict[str, float]) -> None:
+        """Set the figures that are worked out when they are asked for."""
+        now = self._clock()
+        current = self._ensemble.current
+        gauges["state_revision"] = current.revision if current is not None else -1
+        gauges["configuration_version"] = (
+            current.configuration_version if current is not None else 0
+        )
+        gauges["seconds_since_heartbeat"] = now - self._heard_at
+        gauges["seconds_since_state"] = now - self._chosen_at
+        gauges["control_hosts_heard"] = len(self._ensemble.live_hosts(now))
+        gauges["is_voter"] = float(self._ensemble.is_member)
+        gauges["entry_hosts_followed_by"] = len(self._followers)
 
     def document(self, state: RoutingState | None) -> bytes | None:
         """Return the operator's configuration as it was sent, or None."""
@@ -148,7 +174,9 @@
 
     def hear(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat; what is news is on its way to all when this returns."""
-        if self._ledger.hear(heartbeat, self._clock()):
+        self._heard_at = self._clock()
+        self._metrics.count("heartbeats")
+        if self._ledger.hear(heartbeat, self._heard_at):
             self._log.event(
                 "backend server heard",
                 server=heartbeat.name,
@@ -183,6 +211,7 @@
 
     def chosen(self, state: RoutingState) -> None:
         """Tell entry hosts that there is a newer state."""
+        self._chosen_at = self._clock()
         self._log.event(
             "state chosen",
             revision=state.revision,
@@ -214,13 +243,17 @@
         asked_at = self._clock()
 
         def end(state: RoutingState | None) -> None:
+            seconds = self._clock() - asked_at
+            outcome = "accepted" if state is not None else "no quorum in time"
+            self._metrics.count(f"orders_{outcome.replace(' ', '_')}")
+            self._metrics.observe_seconds("order", seconds)
             self._log.event(
                 "order",
                 order=order,
                 subject=subject,
-                outcome="accepted" if state is not None else "no quorum in time",
+                outcome=outcome,
                 revision=state.revision if state is not None else None,
-                seconds=round(self._clock() - asked_at, 4),
+                seconds=round(seconds, 4),
             )
             on_end(state)
 
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -147,6 +147,20 @@
         """Take the control hosts that the settings name now."""
         self._seeds = seeds
 
+    def update_gauges(self, gauges: dict[str, float], now: float) -> None:
+        """Set the figures that are worked out when they are asked for."""
+        heard = [source.heard_at for source in self._sources.values()]
+        gauges["configuration_version"] = self._table.version
+        gauges["state_revision"] = self._revision
+        gauges["seconds_since_control"] = now - max(heard, default=now)
+        gauges["control_hosts_lost"] = sum(s.is_lost for s in self._sources.values())
+        gauges["backend_servers_in_use"] = sum(
+            target.takes_new_flows for target in self._roster.targets
+        )
+        gauges["flows_open"] = self._placement.open_count
+        gauges["flows_waiting"] = self._placement.held_count
+        gauges["is_ready"] = float(self.is_ready)
+
     def can_be_spared(self, now: float) -> bool:
         """Return whether the zone's other hosts can carry its traffic."""
         return self._stewards.can_spare_own(now)
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -87,6 +87,7 @@
         self._roster = roster
         self._stewards = stewards
         self._placement = placement
+        self._metrics = metrics
         self._counts = metrics.counts
         self._log = log
         self._awaited: OrderedDict[bytes, _Awaited] = OrderedDict()
@@ -121,8 +122,9 @@
         """Take the end of a flow that was placed here."""
         self._placement.end_flow(ended.flow, now)
 
-    def released(self, request: FlowRequest, decision: Decision) -> None:
-        """Send a flow that was held, or refuse it."""
+    def released(self, request: FlowRequest, decision: Decision, held: float) -> None:
+        """Send a flow that was held for some seconds, or refuse it."""
+        self._metrics.observe_seconds("flow_held", held)
         self._carry_out(request, decision)
 
     def tick(self, now: float) -> None:
@@ -174,6 +176,9 @@
 
     def _carry_out(self, request: FlowRequest, decision: Decision) -> None:
         self._counts[f"flows_{decision.outcome.value}"] += 1
+        if decision.outcome is Outcome.REFUSED:
+            reason = decision.reason.replace(" ", "_")
+            self._counts[f"flows_refused_{reason}"] += 1
         self._log.decided(
             request.flow, decision.outcome.value, decision.reason, decision.target
         )
--- a/src/kingcuppulley/fabric/formats.py
+++ b/src/kingcuppulley/fabric/formats.py
@@ -11,7 +11,8 @@
     Attributes
     ----------
     flow : bytes
-        Addresses and ports of both ends; equal for every packet of the flow.
+        Called port, caller's address, caller's port and called address, 12 bytes in
+        network order; equal for every packet of the flow, and its id in logs.
     service_key : bytes
         Address and port that the caller called.
     copy : int
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -121,7 +121,7 @@
         zone: str,
         roster: Roster,
         generator: Random,
-        on_release: Callable[[FlowRequest, Decision], None],
+        on_release: Callable[[FlowRequest, Decision, float], None],
     ) -> None:
         self._zone = zone
         self._roster = roster
@@ -258,7 +258,8 @@
                 decision = self._place(request, target, now)
             heapq.heappop(waiting)
             self._held_flows.discard(request.flow)
-            self._on_release(request, decision)
+            held = now - request.hold_deadline + HOLD_SECONDS
+            self._on_release(request, decision, max(0.0, held))
 
     def _choose(
         self, service: str, missed: list[int] | tuple[()], now: float
--- a/src/kingcuppulley/operators/command_line.py
+++ b/src/kingcuppulley/operators/command_line.py
@@ -111,6 +111,39 @@
         typer.echo(f"{settings_file}: no faults")
 
 
+@application.command()
+def explain(
+    folder: Annotated[Path, typer.Argument(help="Where the processes' logs lie.")],
+    words: Annotated[list[str], typer.Argument(help="A flow's id, or any words.")],
+    around: Annotated[
+        float, typer.Option("--around", help="Seconds of changes to tell with it.")
+    ] = 1.0,
+) -> None:
+    """Tell one flow's or one order's story across processes in order of time."""
+    from kingcuppulley.operators.story import read_story
+
+    with _exit_codes():
+        story = read_story(folder, words, around)
+        for line in story:
+            typer.echo(str(line))
+        if not story:
+            typer.echo("no line names this; the log may have left it out", err=True)
+            raise typer.Exit(ExitCode.FAILED)
+
+
+@application.command()
+def flow(
+    address: Annotated[str, typer.Argument(help="The caller's address.")],
+    port: Annotated[int, typer.Argument(help="The caller's port.")],
+    called: Annotated[str, typer.Argument(help="The address that was called.")],
+    called_port: Annotated[int, typer.Argument(help="The port that was called.")],
+) -> None:
+    """Print the id under which logs tell a caller's flow."""
+    from kingcuppulley.operators.story import flow_name
+
+    typer.echo(flow_name(address, port, called, called_port))
+
+
 @application.command()
 def capacity(
     measurement: Annotated[Path, typer.Argument(help="A report of `make measure`.")],
--- a/src/kingcuppulley/platform/settings.py
+++ b/src/kingcuppulley/platform/settings.py
@@ -11,6 +11,7 @@
 from kingcuppulley.errors import SettingsError, SettingsFaults
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
+METRICS_PORT = 9464
 FILE_VARIABLE = "KINGCUPPULLEY_CONFIG"
 
 
@@ -76,6 +77,7 @@
         packets=_address(read.listen.packet_addr),
         ready=_address(read.listen.ready),
         control=_address(read.listen.control),
+        metrics=SocketAddress(read.ip, METRICS_PORT),
         data_folder=read.data_dir,
     )
 
--- a/src/kingcuppulley/seeded/control.py
+++ b/src/kingcuppulley/seeded/control.py
@@ -21,7 +21,12 @@
 from kingcuppulley.internal.datagram_link import DatagramLink
 from kingcuppulley.internal.event_log import EventLog
 from kingcuppulley.internal.http_server import HandleRequest
-from kingcuppulley.seeded.daemon import guarded, listen_datagrams, listen_requests
+from kingcuppulley.seeded.daemon import (
+    guarded,
+    listen_datagrams,
+    listen_requests,
+    serve_metrics,
+)
 from kingcuppulley.seeded_settings import SeededSettings
 
 TICK_SECONDS = 0.02
@@ -53,7 +58,7 @@
                 settings.is_first_start,
             )
             _write_first(store, vote, self.log)
-        self._disk = DiskThread(store, reactor)
+        self._disk = DiskThread(store, reactor, self._metrics)
         self._disk.on_written = self._written
         self._link = DatagramLink(ControlMessage, self._receive, self._metrics)
         self._host = ControlHost(
@@ -67,6 +72,7 @@
             2 * settings.losses_borne + 1,
             settings.heartbeat_seconds,
             self.log,
+            self._metrics,
             Random(os.urandom(8)),
             self._clock.now,
         )
@@ -81,6 +87,9 @@
         listen_datagrams(self._reactor, settings.peer, self._link)
         if settings.control is not None:
             listen_requests(self._reactor, settings.control, self._handle)
+        serve_metrics(
+            self._reactor, settings.metrics, self._metrics, self._host.update_gauges
+        )
         self._ticker.start(TICK_SECONDS)
         self.log.always(
             "started",
--- a/src/kingcuppulley/seeded/daemon.py
+++ b/src/kingcuppulley/seeded/daemon.py
@@ -10,14 +10,17 @@
 from eliot import write_traceback
 from twisted.internet.protocol import DatagramProtocol
 from twisted.internet.task import LoopingCall
+from twisted.web.http import Request
 
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.event_log import EventLog
+from kingcuppulley.internal.http_api import answer_text
 from kingcuppulley.internal.http_server import ApiFactory, HandleRequest
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 SETTINGS_CHECK_SECONDS = 1.0
 CONNECTION_BACKLOG = 512
+METRICS_TYPE = "text/plain; version=0.0.4"
 
 
 class Daemon(Protocol):
@@ -85,6 +88,22 @@
     )
 
 
+def serve_metrics(
+    reactor: Any,
+    address: SocketAddress | None,
+    metrics: Metrics,
+    update_gauges: Callable[[dict[str, float]], None],
+) -> None:
+    """Answer every request at the metrics address with all figures."""
+
+    def answer(request: Request) -> None:
+        update_gauges(metrics.gauges)
+        answer_text(request, 200, metrics.render().encode(), METRICS_TYPE)
+
+    if address is not None:
+        listen_requests(reactor, address, answer)
+
+
 def listen_requests(
     reactor: Any, address: SocketAddress, handle: HandleRequest
 ) -> None:
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -22,7 +22,12 @@
 from kingcuppulley.internal.event_log import EventLog
 from kingcuppulley.internal.http_api import answer_text
 from kingcuppulley.operators.routing import RoutingConfiguration
-from kingcuppulley.seeded.daemon import guarded, listen_datagrams, listen_requests
+from kingcuppulley.seeded.daemon import (
+    guarded,
+    listen_datagrams,
+    listen_requests,
+    serve_metrics,
+)
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 TICK_SECONDS = 0.02
@@ -124,6 +129,9 @@
         listen_datagrams(self._reactor, settings.packets, self._packets)
         if settings.ready is not None:
             listen_requests(self._reactor, settings.ready, self._answer)
+        serve_metrics(
+            self._reactor, settings.metrics, self._metrics, self._update_gauges
+        )
         self._ticker.start(TICK_SECONDS)
         self.log.always("started", zone=settings.zone, seeds=settings.seeds)
 
@@ -177,11 +185,13 @@
         self.log.flush()
 
     def _answer(self, request: Request) -> None:
+        status = 404
         if request.path == self._ready_path:
             status = 200 if self._node.is_ready else 503
-            answer_text(request, status, b"", "text/plain")
-        else:
-            answer_text(request, 200, self._metrics.render().encode(), "text/plain")
+        answer_text(request, status, b"", "text/plain")
+
+    def _update_gauges(self, gauges: dict[str, float]) -> None:
+        self._node.update_gauges(gauges, self._clock.now())
 
 
 def _drop(_: bytes) -> None:
--- a/src/kingcuppulley/seeded_settings.py
+++ b/src/kingcuppulley/seeded_settings.py
@@ -44,4 +44,5 @@
     packets: SocketAddress | None = None
     ready: SocketAddress | None = None
     control: SocketAddress | None = None
+    metrics: SocketAddress | None = None
     data_folder: str = ""
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -87,7 +87,7 @@
         placement.tick(now)
         decision = placement.open_flow(request(b"%d" % number), now)
         placed += decision.outcome is Outcome.PLACED
-    placed += sum(decision.outcome is Outcome.PLACED for _, decision in released)
+    placed += sum(decision.outcome is Outcome.PLACED for _, decision, _ in released)
     assert placed > 200
 
 
@@ -192,7 +192,7 @@
         target.cold_deadline = 100.0
     arrivals: dict[str, list[float]] = {}
 
-    def note(decided_request, decision):
+    def note(decided_request, decision, held=0.0):
         if decision.target is not None:
             arrivals.setdefault(decision.target.name, []).append(now)
 
--- /dev/null
+++ b/tests/cover/test_story.py
@@ -0,0 +1,71 @@
+"""Check that logs of several processes become one story."""
+
+from __future__ import annotations
+
+import json
+
+from typer.testing import CliRunner
+
+from kingcuppulley.operators.command_line import application
+from kingcuppulley.operators.story import flow_name, read_story
+
+FLOW = "01bb644000079c41c6120001"
+
+
+def write(folder, process, *messages):
+    lines = [
+        json.dumps(
+            {
+                "timestamp": at,
+                "process": process,
+                "message_type": f"kingcuppulley:{kind}",
+                **fields,
+            }
+        )
+        for at, kind, fields in messages
+    ]
+    (folder / f"{process}.log").write_text("\n".join(["noise {", *lines]) + "\n")
+
+
+def logs(folder):
+    write(
+        folder,
+        "edge-1",
+        (10.0, "state in force", {"version": 3}),
+        (10.3, "flow", {"flow": FLOW, "outcome": "held"}),
+        (10.4, "flow", {"flow": "another", "outcome": "placed"}),
+    )
+    write(
+        folder,
+        "edge-2",
+        (10.5, "flow", {"flow": FLOW, "outcome": "refused", "reason": "too many"}),
+        (50.0, "state in force", {"version": 4}),
+    )
+
+
+def test_a_flow_is_told_in_order_of_time_with_what_changed_meanwhile(tmp_path):
+    logs(tmp_path)
+    story = read_story(tmp_path, [FLOW], around=1.0)
+    assert [(line.process, line.kind) for line in story] == [
+        ("edge-1", "state in force"),
+        ("edge-1", "flow"),
+        ("edge-2", "flow"),
+    ]
+
+
+def test_an_unknown_flow_has_no_story(tmp_path):
+    logs(tmp_path)
+    assert read_story(tmp_path, ["nobody"], around=1.0) == []
+
+
+def test_the_id_of_a_flow_follows_from_its_addresses():
+    assert flow_name("100.64.0.7", 40001, "198.18.0.1", 443) == FLOW
+
+
+def test_the_command_tells_the_story(tmp_path):
+    logs(tmp_path)
+    result = CliRunner().invoke(application, ["explain", str(tmp_path), FLOW])
+    assert result.exit_code == 0
+    assert "outcome=refused" in result.output
+    missing = CliRunner().invoke(application, ["explain", str(tmp_path), "nobody"])
+    assert missing.exit_code == 1
--- a/tests/seeded_fakes.py
+++ b/tests/seeded_fakes.py
@@ -129,7 +129,7 @@
         self.now = until
         self.placement.tick(self.now)
 
-    def _released(self, request: FlowRequest, decision: Decision) -> None:
+    def _released(self, request: FlowRequest, decision: Decision, held: float) -> None:
         self._carry_out(request, decision)
 
     def _carry_out(self, request: FlowRequest, decision: Decision) -> None:
