Fetch lists and states until they arrive; log a shared sample of flows and every failure

Over links that lose half of all messages a host could need many polls for one configuration: it asked only when news arrived. Lists of entry hosts travel once per content, not from each control host. Polls slow down beyond three control hosts.

--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -26,7 +26,9 @@
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlNews,
     EntryHostInfo,
+    FetchHosts,
     FollowControl,
+    HostList,
 )
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.rendezvous import hash_bytes
@@ -55,14 +57,13 @@
 class _Follower:
     """Remember what one entry host has heard."""
 
-    __slots__ = ("info", "is_ready", "instance", "change", "hosts_digest", "heard_at")
+    __slots__ = ("info", "is_ready", "instance", "change", "heard_at")
 
     def __init__(self) -> None:
         self.info = EntryHostInfo("", "", False)
         self.is_ready = False
         self.instance = ""
         self.change = 0
-        self.hosts_digest = 0
         self.heard_at = 0.0
 
 
@@ -200,6 +201,8 @@
         now = self._clock()
         if isinstance(message, FollowControl):
             self._take_follower(message, now)
+        elif isinstance(message, FetchHosts):
+            self._port.send(address, HostList(self._hosts_digest, self._hosts))
         elif isinstance(message, FetchState):
             self._ensemble.answer_fetch(address, message)
         else:
@@ -269,8 +272,6 @@
         follower.is_ready = follow.is_ready
         follower.instance = follow.instance
         follower.change = follow.change
-        follower.hosts_digest = follow.hosts_digest
-        self._list_hosts(now)
         self._tell(follow.address, follower, now)
 
     def _forget_followers(self, now: float) -> None:
@@ -302,14 +303,12 @@
     def _tell(self, address: str, follower: _Follower, now: float) -> None:
         since = follower.change if follower.instance == self._instance else 0
         current = self._ensemble.current
-        is_known = follower.hosts_digest == self._hosts_digest
         news = ControlNews(
             self._address,
             self._instance,
             since,
             self._ledger.change,
             self._ledger.changes_since(since, now),
-            None if is_known else self._hosts,
             self._hosts_digest,
             [self._address, *self._ensemble.live_hosts(now)],
             current.revision if current is not None else -1,
@@ -317,4 +316,4 @@
         self._port.send(address, news)
 
 
-ControlMessage = EnsembleHostMessage | FollowControl
+ControlMessage = EnsembleHostMessage | FollowControl | FetchHosts
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -10,12 +10,15 @@
 from kingcuppulley.backend_servers.roster import Roster, RosterTarget
 from kingcuppulley.control.ensemble_messages import ChosenState, FetchState
 from kingcuppulley.control.state import RoutingState
+from kingcuppulley.entry_hosts.flow_log import Beliefs, FlowLog
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlNews,
     EntryHostInfo,
+    FetchHosts,
     FlowEnded,
     FlowTaken,
     FollowControl,
+    HostList,
     LoadReport,
     PlaceFlow,
 )
@@ -27,6 +30,7 @@
 from kingcuppulley.operators.routing import RoutingConfiguration, RoutingTable
 
 FOLLOW_SECONDS = 0.25
+FOLLOWED_AT_FULL_PACE = 3
 REPORT_SECONDS = 0.1
 FETCH_AGAIN_SECONDS = 0.15
 SOURCE_SILENT_SECONDS = 1.0
@@ -44,35 +48,13 @@
         """Record one event whatever the budget."""
 
 
-class FlowLog:
-    """Record decisions about flows as events."""
-
-    def __init__(self, log: EntryLog, table: RoutingTable) -> None:
-        self._log = log
-        self._table = table
-
-    def decided(
-        self, flow: bytes, what: str, reason: str, target: RosterTarget | None
-    ) -> None:
-        """Record what became of a flow's packet and why."""
-        self._log.event(
-            "flow",
-            flow=flow.hex(),
-            outcome=what,
-            reason=reason,
-            server=target.name if target is not None else None,
-            version=self._table.version,
-        )
-
-
 class _Source:
     """Remember when a control host was heard."""
 
-    __slots__ = ("heard_at", "hosts", "hosts_digest", "is_lost")
+    __slots__ = ("heard_at", "hosts_digest", "is_lost")
 
     def __init__(self) -> None:
         self.heard_at = float("-inf")
-        self.hosts: list[EntryHostInfo] = []
         self.hosts_digest = 0
         self.is_lost = True
 
@@ -103,7 +85,11 @@
         self._sources: dict[str, _Source] = {}
         self._revision = -1
         self._zones_out: frozenset[str] = frozenset()
+        self._newest_revision = -1
+        self._newest_at = ""
         self._fetch_deadline = 0.0
+        self._host_lists: dict[int, list[EntryHostInfo]] = {}
+        self._hosts_deadline = 0.0
         self._follow_deadline = 0.0
         self._report_deadline = 0.0
         self._is_leaving = False
@@ -125,7 +111,7 @@
             self._stewards,
             self._placement,
             metrics,
-            FlowLog(log, self._table),
+            FlowLog(log, self._beliefs),
         )
 
     @property
@@ -185,6 +171,8 @@
                 self._placement.take_report(address, message.loads, now)
             case ControlNews():
                 self._take_news(message, now)
+            case HostList():
+                self._take_hosts(message, now)
             case ChosenState():
                 self._take_state(message.state, now)
             case _:
@@ -194,8 +182,11 @@
         """Act on every deadline that has passed."""
         self._now = now
         self._router.tick(now)
+        self._fetch_state(now)
         if now >= self._follow_deadline:
-            self._follow_deadline = now + FOLLOW_SECONDS
+            # The messages of a host grow with control hosts only up to this many.
+            stretch = max(1.0, len(self._sources) / FOLLOWED_AT_FULL_PACE)
+            self._follow_deadline = now + FOLLOW_SECONDS * stretch
             self._follow(now)
             self._note_lost(now)
             self._changed(self._roster.tick(now))
@@ -206,8 +197,6 @@
     def _follow(self, now: float) -> None:
         for host in {*self._seeds, *self._sources}:
             instance, change = self._roster.position(host)
-            source = self._sources.get(host)
-            digest = source.hosts_digest if source is not None else 0
             follow = FollowControl(
                 self._address,
                 self._zone,
@@ -215,7 +204,6 @@
                 self._is_leaving,
                 instance,
                 change,
-                digest,
             )
             self._send(host, follow)
 
@@ -226,6 +214,9 @@
                 del self._sources[host]
             elif silence > SOURCE_SILENT_SECONDS and not source.is_lost:
                 source.is_lost = True
+                if host == self._newest_at:
+                    # Whoever else has that state says so in its next news.
+                    self._newest_revision = self._revision
                 self._log.always("control host lost", control=host)
 
     def _take_news(self, news: ControlNews, now: float) -> None:
@@ -243,22 +234,46 @@
             news.host, news.instance, news.change, news.targets, now
         )
         self._changed(changed)
-        if news.entry_hosts is not None:
-            source.hosts = news.entry_hosts
-            source.hosts_digest = news.hosts_digest
-        self._list_hosts(now)
-        if news.revision > self._revision and now >= self._fetch_deadline:
-            self._fetch_deadline = now + FETCH_AGAIN_SECONDS
-            self._send(news.host, FetchState(self._revision))
+        source.hosts_digest = news.hosts_digest
+        self._fetch_hosts(news, now)
+        if news.revision > self._newest_revision:
+            self._newest_revision = news.revision
+            self._newest_at = news.host
+            self._fetch_deadline = now
+        self._fetch_state(now)
         self._judge_ready()
 
-    def _list_hosts(self, now: float) -> None:
-        hosts = {
-            info.address: info
+    def _fetch_state(self, now: float) -> None:
+        """Ask for the newest state until it arrives."""
+        if self._newest_revision > self._revision and now >= self._fetch_deadline:
+            self._fetch_deadline = now + FETCH_AGAIN_SECONDS
+            self._send(self._newest_at, FetchState(self._revision))
+
+    def _fetch_hosts(self, news: ControlNews, now: float) -> None:
+        """Fetch a list of entry hosts that no control host has sent yet."""
+        digest = news.hosts_digest
+        if digest and digest not in self._host_lists and now >= self._hosts_deadline:
+            self._hosts_deadline = now + FETCH_AGAIN_SECONDS
+            self._send(news.host, FetchHosts())
+        self._use_hosts(now)
+
+    def _take_hosts(self, hosts: HostList, now: float) -> None:
+        self._host_lists[hosts.digest] = hosts.hosts
+        self._use_hosts(now)
+
+    def _use_hosts(self, now: float) -> None:
+        """Use the entry hosts that any control host within reach has heard of."""
+        digests = {
+            source.hosts_digest
             for source in self._sources.values()
             if now - source.heard_at < SOURCE_SILENT_SECONDS
-            for info in source.hosts
         }
+        known = {d: self._host_lists[d] for d in digests if d in self._host_lists}
+        if not known:
+            # Until a newer list arrives the former one serves.
+            return
+        self._host_lists = known
+        hosts = {info.address: info for each in known.values() for info in each}
         self._stewards.update(list(hosts.values()), now)
 
     def _changed(self, targets: list[RosterTarget]) -> None:
@@ -302,6 +317,11 @@
     def _use_zones(self, now: float) -> None:
         self._placement.use_zones(self._zones_out, self._stewards.unreached_zones(now))
 
+    def _beliefs(self) -> Beliefs:
+        heard = [source.heard_at for source in self._sources.values()]
+        age = self._now - max(heard, default=self._now)
+        return Beliefs(self._table.version, self._revision, age)
+
     def _judge_ready(self) -> None:
         if self._router.is_ready or not self._table.version:
             return
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -24,14 +24,25 @@
     is_leaving: bool
     instance: str
     change: int
-    hosts_digest: int
+
+
+class FetchHosts(msgspec.Struct, frozen=True, array_like=True, tag="fh"):
+    """Ask a control host for the entry hosts that it has heard of."""
+
+
+class HostList(msgspec.Struct, frozen=True, array_like=True, tag="hl"):
+    """Tell the entry hosts that a control host has heard of."""
+
+    digest: int
+    hosts: list[EntryHostInfo]
 
 
 class ControlNews(msgspec.Struct, frozen=True, array_like=True, tag="cn"):
     """Tell what is news to an entry host.
 
-    `since` is the change that the list of targets begins after; `entry_hosts` is None
-    where the entry host knows it already.  `revision` is that of the routing state.
+    `since` is the change that the list of targets begins after.  `hosts_digest` names
+    the list of entry hosts: control hosts that have heard the same send equal digests,
+    so that an entry host fetches each list once.  `revision` is the routing state's.
     """
 
     host: str
@@ -39,7 +50,6 @@
     since: int
     change: int
     targets: list[HeardTarget]
-    entry_hosts: list[EntryHostInfo] | None
     hosts_digest: int
     control_hosts: list[str]
     revision: int
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from kingcuppulley.backend_servers.heartbeats import ServingState
-from kingcuppulley.backend_servers.roster import Roster, RosterTarget
+from kingcuppulley.backend_servers.roster import Roster
 from kingcuppulley.entry_hosts.seeded_messages import (
     FlowEnded,
     FlowTaken,
@@ -15,7 +15,13 @@
 from kingcuppulley.entry_hosts.stewards import Stewards
 from kingcuppulley.errors import MalformedPacketError
 from kingcuppulley.fabric.formats import FlowPacket, PacketFormat
-from kingcuppulley.fabric.placement import Decision, FlowRequest, Outcome, Placement
+from kingcuppulley.fabric.placement import (
+    LEAST_LOAD,
+    Decision,
+    FlowRequest,
+    Outcome,
+    Placement,
+)
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.operators.routing import RoutingTable
 
@@ -41,10 +47,11 @@
 class DecisionLog(Protocol):
     """Record decisions that touch a flow."""
 
-    def decided(
-        self, flow: bytes, what: str, reason: str, target: RosterTarget | None
-    ) -> None:
-        """Record what became of a flow's packet and why."""
+    def went_well(self, flow: bytes, outcome: str, **inputs: object) -> None:
+        """Record a step of a flow that is as it should be, for a sample of flows."""
+
+    def went_wrong(self, flow: bytes, outcome: str, **inputs: object) -> None:
+        """Record a step of a flow that its caller may notice."""
 
 
 class _Awaited:
@@ -136,6 +143,12 @@
             self._awaited.popitem(last=False)
             self._counts["stewards_missed"] += 1
             self._stewards.suspect(awaited.steward, now)
+            self._log.went_wrong(
+                awaited.request.flow,
+                "taken back",
+                reason="no answer from the steward",
+                steward=awaited.steward,
+            )
             self._placers[awaited.request.flow] = (self._address, now)
             self._place(awaited.request, now)
         while self._placers:
@@ -148,11 +161,12 @@
     def _open(self, packet: bytes, head: FlowPacket, now: float) -> None:
         if not self.is_ready:
             self._counts["opens_before_ready"] += 1
+            self._log.went_wrong(head.flow, "dropped", reason="not ready")
             return
         route = self._table.route(head.service_key)
         if route is None:
             self._counts["opens_without_route"] += 1
-            self._log.decided(head.flow, "refused", "no route", None)
+            self._log.went_wrong(head.flow, "refused", reason="no route")
             self._reset(head.flow)
             return
         self._counts["opens"] += 1
@@ -168,6 +182,7 @@
             request, steward, now + STEWARD_ANSWER_SECONDS
         )
         self._counts["opens_to_steward"] += 1
+        self._log.went_well(head.flow, "given", steward=steward, service=service)
         asked = PlaceFlow(head.flow, service, head.copy, route.priority, packet)
         self._port.send_to_host(steward, asked)
 
@@ -179,10 +194,18 @@
         if decision.outcome is Outcome.REFUSED:
             reason = decision.reason.replace(" ", "_")
             self._counts[f"flows_refused_{reason}"] += 1
-        self._log.decided(
-            request.flow, decision.outcome.value, decision.reason, decision.target
-        )
         target = decision.target
+        is_usual = decision.reason == LEAST_LOAD
+        tell = self._log.went_well if is_usual else self._log.went_wrong
+        tell(
+            request.flow,
+            decision.outcome.value,
+            reason=decision.reason,
+            copy=request.copy,
+            server=target.name if target is not None else None,
+            zone=target.zone if target is not None else None,
+            load=decision.load,
+        )
         if decision.outcome is Outcome.REFUSED:
             self._reset(request.flow)
         elif decision.outcome is Outcome.PLACED and target is not None:
@@ -197,14 +220,20 @@
         target = self._roster.by_cookie(head.cookie)
         if target is None:
             self._counts["packets_with_unknown_mark"] += 1
-            self._log.decided(head.flow, "dropped", "unknown mark", None)
+            self._log.went_wrong(
+                head.flow, "dropped", reason="unknown mark", mark=head.cookie
+            )
             return
         if not self._table.may_carry(head.service_key, target.service):
             self._counts["packets_of_removed_route"] += 1
+            self._log.went_wrong(head.flow, "dropped", reason="route removed")
             return
         if target.state is ServingState.GONE:
             # The server said that it ends, so its flows are over.
             self._counts["packets_to_server_gone"] += 1
+            self._log.went_wrong(
+                head.flow, "dropped", reason="server gone", server=target.name
+            )
             return
         self._counts["packets_carried"] += 1
         datagram = self._packets.to_target(packet, target.identity, head.cookie)
@@ -214,6 +243,7 @@
         noted = self._placers.pop(flow, None)
         if noted is None:
             return
+        self._log.went_well(flow, "ended", seconds=round(now - noted[1], 4))
         if noted[0] == self._address:
             self._placement.end_flow(flow, now)
         else:
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -23,6 +23,7 @@
 COLD_SPACING_SECONDS = 0.6
 QUEUED_PER_SLOT = 1
 HELD_PER_SLOT = 3
+LEAST_LOAD = "least load"
 OTHER_ZONE_COST = 0.8
 TIE_COST = 0.25
 
@@ -52,16 +53,24 @@
 
 
 class Decision:
-    """Hold what became of a new flow and why."""
+    """Hold what became of a new flow and why.
 
-    __slots__ = ("outcome", "target", "reason")
+    `load` is how many flows the server held already, or how many flows wait.
+    """
+
+    __slots__ = ("outcome", "target", "reason", "load")
 
     def __init__(
-        self, outcome: Outcome, target: RosterTarget | None, reason: str
+        self,
+        outcome: Outcome,
+        target: RosterTarget | None,
+        reason: str,
+        load: int = 0,
     ) -> None:
         self.outcome = outcome
         self.target = target
         self.reason = reason
+        self.load = load
 
 
 class _PlacedFlow:
@@ -228,12 +237,12 @@
         waiting = self._held.setdefault(request.service, [])
         if target is None or not has_room or waiting:
             if len(waiting) >= HELD_PER_SLOT * slots:
-                return Decision(Outcome.REFUSED, None, "too many wait")
+                return Decision(Outcome.REFUSED, None, "too many wait", len(waiting))
             request.hold_deadline = now + HOLD_SECONDS
             entry = (request.priority, next(self._ticket), request)
             heapq.heappush(waiting, entry)
             self._held_flows.add(request.flow)
-            return Decision(Outcome.HELD, None, "every server is full")
+            return Decision(Outcome.HELD, None, "every server is full", len(waiting))
         return self._place(request, target, now)
 
     def _place(
@@ -242,8 +251,9 @@
         placed = _PlacedFlow(target, now)
         self._flows[request.flow] = placed
         self._expiries.append((now + REMEMBERED_SECONDS, request.flow, placed))
+        load = self._load(target.cookie).total(now)
         self._count(placed, target, now)
-        return Decision(Outcome.PLACED, target, "least load")
+        return Decision(Outcome.PLACED, target, LEAST_LOAD, load)
 
     def _release_held(self, service: str, now: float) -> None:
         waiting = self._held.get(service)
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -14,7 +14,11 @@
 
 from kingcuppulley.control.ensemble_messages import ChosenState
 from kingcuppulley.entry_hosts.seeded_host import EntryNode
-from kingcuppulley.entry_hosts.seeded_messages import ControlNews, EntryMessage
+from kingcuppulley.entry_hosts.seeded_messages import (
+    ControlNews,
+    EntryMessage,
+    HostList,
+)
 from kingcuppulley.fabric.formats import PacketFormat
 from kingcuppulley.internal.clock import ProcessClock
 from kingcuppulley.internal.counters import Metrics
@@ -99,7 +103,7 @@
         self._clock = ProcessClock()
         self._metrics = Metrics()
         self.log = EventLog(settings.name, self._metrics, self._clock.now)
-        messages = EntryMessage | ControlNews | ChosenState
+        messages = EntryMessage | ControlNews | HostList | ChosenState
         self._link = DatagramLink(messages, self._receive, self._metrics)
         assert settings.packets is not None
         self._packets = PacketSocket(settings.packets, self._metrics)
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -59,7 +59,7 @@
         self.to_targets: list[tuple[bytes, tuple[str, int]]] = []
         self.to_callers: list[bytes] = []
         self.to_hosts: list[tuple[str, object]] = []
-        self.decisions: list[tuple[str, str]] = []
+        self.decisions: list[tuple] = []
 
     def send_to_target(self, datagram, endpoint):
         self.to_targets.append((datagram, endpoint))
@@ -70,8 +70,11 @@
     def send_to_host(self, address, message):
         self.to_hosts.append((address, message))
 
-    def decided(self, flow, what, reason, target):
-        self.decisions.append((what, reason))
+    def went_well(self, flow, outcome, **inputs):
+        self.decisions.append((flow, outcome))
+
+    def went_wrong(self, flow, outcome, **inputs):
+        self.decisions.append((flow, outcome, inputs["reason"]))
 
 
 def configuration(version: int, *services: str) -> RoutingConfiguration:
@@ -249,3 +252,19 @@
     host.packet("nonsense")
     assert host.metrics.counts["packets_malformed"] == 1
     assert not host.sent.to_targets
+
+
+def test_every_step_that_a_caller_may_notice_is_recorded():
+    host = steward_host()
+    host.packet("flow open 0")
+    host.router.tick(STEWARD_ANSWER_SECONDS + 0.01)
+    host.packet("lost data 12345", 1.0)
+    host.table.update(configuration(2))
+    host.packet("late open 0", 2.0)
+    assert host.sent.decisions == [
+        (b"flow", "given"),
+        (b"flow", "taken back", "no answer from the steward"),
+        (b"flow", "placed"),
+        (b"lost", "dropped", "unknown mark"),
+        (b"late", "refused", "no route"),
+    ]
