Reset a new flow only where it cannot have opened elsewhere

Cause, found by reading: a flow that its steward placed late could be refused by the host that had taken it back, or held until after the caller's repeat had been placed by another host; the reset would hit an open flow. Change: the host that took the packet resets, unless it took the flow back; flows are held for less than the time after which callers repeat. Tests in test_cookie_router.

--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -16,6 +16,7 @@
     EntryHostInfo,
     FetchHosts,
     FlowEnded,
+    FlowRefused,
     FlowTaken,
     FollowControl,
     HostList,
@@ -164,6 +165,8 @@
                 self._router.place_for_host(address, message, now)
             case FlowTaken():
                 self._router.flow_taken(message)
+            case FlowRefused():
+                self._router.flow_refused(address, message)
             case FlowEnded():
                 self._router.flow_ended(message, now)
             case LoadReport():
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -71,6 +71,12 @@
     flow: bytes
 
 
+class FlowRefused(msgspec.Struct, frozen=True, array_like=True, tag="fr"):
+    """Say that a steward found no server for a new flow."""
+
+    flow: bytes
+
+
 class FlowEnded(msgspec.Struct, frozen=True, array_like=True, tag="fe"):
     """Say that a flow's caller has ended it."""
 
@@ -84,4 +90,5 @@
     loads: list[tuple[int, int]]
 
 
-EntryMessage = PlaceFlow | FlowTaken | FlowEnded | LoadReport
+FlowMessage = PlaceFlow | FlowTaken | FlowRefused | FlowEnded
+EntryMessage = FlowMessage | LoadReport
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -9,6 +9,8 @@
 from kingcuppulley.backend_servers.roster import Roster
 from kingcuppulley.entry_hosts.seeded_messages import (
     FlowEnded,
+    FlowMessage,
+    FlowRefused,
     FlowTaken,
     PlaceFlow,
 )
@@ -27,6 +29,7 @@
 
 STEWARD_ANSWER_SECONDS = 0.04
 FLOW_NOTE_SECONDS = 4.0
+NOBODY = ""
 
 
 class CookiePort(Protocol):
@@ -38,9 +41,7 @@
     def send_to_caller(self, packet: bytes, address: str) -> None:
         """Send a packet to a caller."""
 
-    def send_to_host(
-        self, address: str, message: PlaceFlow | FlowTaken | FlowEnded
-    ) -> None:
+    def send_to_host(self, address: str, message: FlowMessage) -> None:
         """Send a message to another entry host."""
 
 
@@ -117,7 +118,7 @@
         """Place a new flow that another host of the zone took."""
         self._port.send_to_host(host, FlowTaken(asked.flow))
         request = FlowRequest(
-            asked.flow, asked.service, asked.copy, asked.packet, asked.priority
+            asked.flow, asked.service, asked.copy, asked.packet, asked.priority, host
         )
         self._place(request, now)
 
@@ -125,6 +126,15 @@
         """Stop waiting for a steward's answer."""
         self._awaited.pop(taken.flow, None)
 
+    def flow_refused(self, host: str, refused: FlowRefused) -> None:
+        """Refuse a flow for whose opening a steward found no server.
+
+        A flow that was taken back meanwhile may be open by now, so it is left alone.
+        """
+        noted = self._placers.get(refused.flow)
+        if noted is not None and noted[0] == host:
+            self._reset(refused.flow)
+
     def flow_ended(self, ended: FlowEnded, now: float) -> None:
         """Take the end of a flow that was placed here."""
         self._placement.end_flow(ended.flow, now)
@@ -150,6 +160,8 @@
                 steward=awaited.steward,
             )
             self._placers[awaited.request.flow] = (self._address, now)
+            # The steward may have placed it after all: it is not refused from here.
+            awaited.request.origin = NOBODY
             self._place(awaited.request, now)
         while self._placers:
             flow, (_, noted_at) = next(iter(self._placers.items()))
@@ -171,7 +183,9 @@
             return
         self._counts["opens"] += 1
         service = route.service_of(head.flow)
-        request = FlowRequest(head.flow, service, head.copy, packet, route.priority)
+        request = FlowRequest(
+            head.flow, service, head.copy, packet, route.priority, self._address
+        )
         steward = self._stewards.steward(self._zone, service, now)
         if steward is None or steward == self._address:
             self._placers[head.flow] = (self._address, now)
@@ -207,7 +221,7 @@
             load=decision.load,
         )
         if decision.outcome is Outcome.REFUSED:
-            self._reset(request.flow)
+            self._refuse(request)
         elif decision.outcome is Outcome.PLACED and target is not None:
             datagram = self._packets.to_target(
                 request.packet, target.identity, target.cookie
@@ -249,6 +263,12 @@
         else:
             self._port.send_to_host(noted[0], FlowEnded(flow))
 
+    def _refuse(self, request: FlowRequest) -> None:
+        if request.origin == self._address:
+            self._reset(request.flow)
+        elif request.origin != NOBODY:
+            self._port.send_to_host(request.origin, FlowRefused(request.flow))
+
     def _reset(self, flow: bytes) -> None:
         packet, address = self._packets.reset(flow)
         self._port.send_to_caller(packet, address)
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -19,7 +19,9 @@
 REMEMBERED_SECONDS = 3.0
 REPORT_SECONDS = 0.5
 SUSPECT_SECONDS = 1.0
-HOLD_SECONDS = 0.3
+# Less than the time after which callers repeat an opening packet: a repeated one then
+# says that no server has answered, and refusing it breaks no flow that has just opened.
+HOLD_SECONDS = 0.18
 COLD_SPACING_SECONDS = 0.6
 QUEUED_PER_SLOT = 1
 HELD_PER_SLOT = 3
@@ -37,18 +39,36 @@
 
 
 class FlowRequest:
-    """Ask for a backend server for one new flow."""
+    """Ask for a backend server for one new flow.
 
-    __slots__ = ("flow", "service", "copy", "packet", "priority", "hold_deadline")
+    `origin` is the entry host that took the packet.
+    """
+
+    __slots__ = (
+        "flow",
+        "service",
+        "copy",
+        "packet",
+        "priority",
+        "origin",
+        "hold_deadline",
+    )
 
     def __init__(
-        self, flow: bytes, service: str, copy: int, packet: bytes, priority: int
+        self,
+        flow: bytes,
+        service: str,
+        copy: int,
+        packet: bytes,
+        priority: int,
+        origin: str = "",
     ) -> None:
         self.flow = flow
         self.service = service
         self.copy = copy
         self.packet = packet
         self.priority = priority
+        self.origin = origin
         self.hold_deadline = 0.0
 
 
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -11,6 +11,7 @@
 from kingcuppulley.entry_hosts.seeded_messages import (
     EntryHostInfo,
     FlowEnded,
+    FlowRefused,
     FlowTaken,
     PlaceFlow,
 )
@@ -232,6 +233,44 @@
     assert not host.sent.to_targets
 
 
+def without_servers(host: Host) -> Host:
+    for name in ("i-1", "i-2"):
+        host.hear(heard(name, sequence=2, state=ServingState.SILENT), change=2)
+    return host
+
+
+def test_a_refusal_of_the_steward_is_told_to_the_caller():
+    host = steward_host()
+    host.packet("flow open 0")
+    host.router.flow_taken(FlowTaken(b"flow"))
+    host.router.flow_refused(OTHER, FlowRefused(b"flow"))
+    assert host.sent.to_callers == [b"reset flow"]
+
+
+def test_a_late_refusal_does_not_reset_a_flow_that_was_placed_meanwhile():
+    host = steward_host()
+    host.packet("flow open 0")
+    host.router.tick(STEWARD_ANSWER_SECONDS + 0.01)
+    host.router.flow_refused(OTHER, FlowRefused(b"flow"))
+    assert host.sent.to_targets
+    assert not host.sent.to_callers
+
+
+def test_a_flow_that_was_taken_back_is_not_reset_since_the_steward_may_have_placed_it():
+    host = without_servers(steward_host())
+    host.packet("flow open 0")
+    host.router.tick(STEWARD_ANSWER_SECONDS + 0.01)
+    assert not host.sent.to_callers
+
+
+def test_a_steward_leaves_the_reset_to_the_host_that_took_the_packet():
+    host = without_servers(Host(OWN))
+    asked = PlaceFlow(b"flow", "order-desk", 0, 1, b"flow open 0")
+    host.router.place_for_host(OTHER, asked, 0.0)
+    assert host.sent.to_hosts[-1] == (OTHER, FlowRefused(b"flow"))
+    assert not host.sent.to_callers
+
+
 def test_the_end_of_a_flow_is_told_to_its_steward():
     host = steward_host()
     host.packet("flow open 0")
@@ -240,9 +279,7 @@
 
 
 def test_without_a_server_a_new_flow_is_reset_at_once():
-    host = Host(OWN)
-    for name in ("i-1", "i-2"):
-        host.hear(heard(name, sequence=2, state=ServingState.SILENT), change=2)
+    host = without_servers(Host(OWN))
     host.packet("flow open 0")
     assert host.sent.to_callers == [b"reset flow"]
 
