--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -13,6 +13,7 @@
 from twisted.web.http import Request
 
 from kingcuppulley.control.ensemble_messages import ChosenState
+from kingcuppulley.entry_hosts.leave_plan import LeavePlan
 from kingcuppulley.entry_hosts.seeded_host import EntryNode
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlNews,
@@ -36,8 +37,6 @@
 
 TICK_SECONDS = 0.02
 LEAVE_SECONDS = 1.3
-SPARED_SECONDS = 0.6
-STOP_SLACK_SECONDS = 0.3
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
@@ -120,8 +119,7 @@
             Random(os.urandom(8)),
         )
         self._packets.on_packet = self._packet
-        self._stop_deadline: float | None = None
-        self._spared_at = 0.0
+        self._leave_plan: LeavePlan | None = None
         self._is_leaving = False
         self._ticker = LoopingCall(self._tick)
 
@@ -146,23 +144,19 @@
 
     def leave(self) -> None:
         """Leave the rotation once the zone can spare this host, then stop."""
-        if self._stop_deadline is not None:
+        if self._leave_plan is not None:
             return
         now = self._clock.now()
-        self._stop_deadline = now + self._settings.grace_seconds - STOP_SLACK_SECONDS
-        self._spared_at = now + SPARED_SECONDS
-        self.log.always("told to stop", can_be_spared=self._node.can_be_spared(now))
-        if self._node.can_be_spared(now):
-            self._begin_leaving(now)
+        latest = now + self._settings.grace_seconds - LEAVE_SECONDS
+        is_spared = self._node.can_be_spared(now)
+        self._leave_plan = LeavePlan(now, latest, is_spared)
+        self.log.always("told to stop", can_be_spared=is_spared)
+        self._watch_leaving(now)
 
     def _watch_leaving(self, now: float) -> None:
-        if self._stop_deadline is None or self._is_leaving:
+        if self._leave_plan is None or self._is_leaving:
             return
-        if not self._node.can_be_spared(now):
-            # Others of the zone are back in rotation only some probes after they
-            # say that they are ready.
-            self._spared_at = now + SPARED_SECONDS
-        if now >= self._spared_at or now >= self._stop_deadline - LEAVE_SECONDS:
+        if self._leave_plan.may_leave(now, self._node.can_be_spared(now)):
             self._begin_leaving(now)
 
     def _begin_leaving(self, now: float) -> None:
--- a/tests/cover/test_stewards.py
+++ b/tests/cover/test_stewards.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from kingcuppulley.entry_hosts.leave_plan import LeavePlan
 from kingcuppulley.entry_hosts.seeded_messages import EntryHostInfo
 from kingcuppulley.entry_hosts.stewards import (
     SUSPECT_SECONDS,
@@ -71,3 +72,31 @@
 
 def test_the_last_host_of_a_zone_is_never_spared():
     assert not stewards_of("a1").can_spare_own(0.0)
+
+
+ROTATION_SECONDS = 1.5
+OUT_OF_ROTATION_SECONDS = 4.0
+
+
+def left_after(spared_from: float, latest: float = 5.0) -> float:
+    plan = LeavePlan(0.0, latest, spared_from <= 0.0)
+    now = 0.0
+    while not plan.may_leave(now, now >= spared_from):
+        now += 0.02
+    return now
+
+
+def test_a_host_that_can_be_spared_leaves_at_once():
+    assert left_after(spared_from=0.0) == 0.0
+
+
+def test_a_host_waits_until_others_had_time_to_be_in_rotation_again():
+    assert 1.0 + 0.5 < left_after(spared_from=1.0) < 1.0 + 0.7
+
+
+def test_a_host_that_is_never_spared_is_out_of_rotation_in_time_all_the_same():
+    assert left_after(spared_from=99.0) + ROTATION_SECONDS < OUT_OF_ROTATION_SECONDS
+
+
+def test_a_short_grace_goes_before_the_zone():
+    assert left_after(spared_from=99.0, latest=0.5) < 0.6
