--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -78,9 +78,10 @@
 
 
 class FlowEnded(msgspec.Struct, frozen=True, array_like=True, tag="fe"):
-    """Say that a flow's caller has ended it."""
+    """Say that a flow's caller has ended it, and whether a server had answered."""
 
     flow: bytes
+    was_answered: bool
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="lr"):
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -137,7 +137,7 @@
 
     def flow_ended(self, ended: FlowEnded, now: float) -> None:
         """Take the end of a flow that was placed here."""
-        self._placement.end_flow(ended.flow, now)
+        self._placement.end_flow(ended.flow, ended.was_answered, now)
 
     def released(self, request: FlowRequest, decision: Decision, held: float) -> None:
         """Send a flow that was held for some seconds, or refuse it."""
@@ -230,7 +230,8 @@
 
     def _carry(self, packet: bytes, head: FlowPacket, now: float) -> None:
         if head.ends:
-            self._end(head.flow, now)
+            # Only a server's answer brings a mark back.
+            self._end(head.flow, head.cookie != 0, now)
         target = self._roster.by_cookie(head.cookie)
         if target is None:
             self._counts["packets_with_unknown_mark"] += 1
@@ -253,15 +254,15 @@
         datagram = self._packets.to_target(packet, target.identity, head.cookie)
         self._port.send_to_target(datagram, target.endpoint)
 
-    def _end(self, flow: bytes, now: float) -> None:
+    def _end(self, flow: bytes, was_answered: bool, now: float) -> None:
         noted = self._placers.pop(flow, None)
         if noted is None:
             return
         self._log.went_well(flow, "ended", seconds=round(now - noted[1], 4))
         if noted[0] == self._address:
-            self._placement.end_flow(flow, now)
+            self._placement.end_flow(flow, was_answered, now)
         else:
-            self._port.send_to_host(noted[0], FlowEnded(flow))
+            self._port.send_to_host(noted[0], FlowEnded(flow, was_answered))
 
     def _refuse(self, request: FlowRequest) -> None:
         if request.origin == self._address:
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -23,6 +23,8 @@
 # says that no server has answered, and refusing it breaks no flow that has just opened.
 HOLD_SECONDS = 0.18
 COLD_SPACING_SECONDS = 0.6
+PROBE_SPACING_SECONDS = 0.25
+ANSWERED_SECONDS = 1.0
 QUEUED_PER_SLOT = 1
 HELD_PER_SLOT = 3
 LEAST_LOAD = "least load"
@@ -108,14 +110,14 @@
 class _Load:
     """Count the flows of one backend server, and what speaks against it."""
 
-    __slots__ = ("own", "reported", "suspect_deadline", "cold_place_at", "usual")
+    __slots__ = ("own", "reported", "suspect_deadline", "next_place_at", "usual")
 
     def __init__(self) -> None:
         self.own = 0
         self.usual = COUNTED_AT_LEAST_SECONDS / COUNTED_TIMES_USUAL
         self.reported: dict[str, tuple[int, float]] = {}
         self.suspect_deadline = 0.0
-        self.cold_place_at = 0.0
+        self.next_place_at = 0.0
 
     def learn(self, seconds: float) -> None:
         """Take how long a flow lasted; one of a caller that lingers tells little."""
@@ -131,6 +133,8 @@
         return total
 
 
+# A server of a zone that is silent gets a flow now and then, to see whether it is the
+# zone's entry hosts alone that are lost.
 _NOT_REACHED_TIER = 3
 _COLD_TIER = 2
 _SUSPECT_TIER = 1
@@ -162,6 +166,7 @@
         self._loads: dict[int, _Load] = {}
         self._held: dict[str, list[tuple[int, int, FlowRequest]]] = {}
         self._held_flows: set[bytes] = set()
+        self._answered_at: dict[str, float] = {}
         self._ticket = count()
         self._zones_out: frozenset[str] = frozenset()
         self._unreached_zones: frozenset[str] = frozenset()
@@ -209,13 +214,15 @@
             return self._place_again(placed, request, now)
         return self._place_first(request, now)
 
-    def end_flow(self, flow: bytes, now: float) -> None:
+    def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
         """Take the end of a flow and give its place to one that waits."""
         placed = self._flows.pop(flow, None)
         if placed is None:
             return
-        if placed.is_counted:
-            self._load(placed.target.cookie).learn(now - placed.placed_at)
+        if was_answered:
+            self._answered_at[placed.target.zone] = now
+            if placed.is_counted:
+                self._load(placed.target.cookie).learn(now - placed.placed_at)
         self._uncount(placed)
         self._release_held(placed.target.service, now)
 
@@ -253,7 +260,9 @@
     def _place_first(self, request: FlowRequest, now: float) -> Decision:
         target, has_room, slots = self._choose(request.service, (), now)
         if target is None and not slots:
-            return Decision(Outcome.REFUSED, None, "no server")
+            return Decision(Outcome.REFUSED, None, "no server within reach")
+        if target is not None and not slots:
+            return self._place(request, target, now)
         waiting = self._held.setdefault(request.service, [])
         if target is None or not has_room or waiting:
             if len(waiting) >= HELD_PER_SLOT * slots:
@@ -302,12 +311,11 @@
         for target in self._roster.of_service(service):
             if not target.takes_new_flows or target.zone in self._zones_out:
                 continue
-            slots += target.slots
-            if target.cookie in missed:
-                continue
             load = self._load(target.cookie)
             tier = self._tier(target, load, now)
-            if tier == _COLD_TIER and not self._may_use_cold(target, load, now):
+            if tier != _NOT_REACHED_TIER:
+                slots += target.slots
+            if target.cookie in missed or not self._may_use(target, tier, load, now):
                 continue
             flows = load.total(now)
             cost = flows / max(1, target.slots) + TIE_COST * self._generator.random()
@@ -321,23 +329,34 @@
 
     def _tier(self, target: RosterTarget, load: _Load, now: float) -> int:
         if target.zone in self._unreached_zones:
-            return _NOT_REACHED_TIER
+            answered_at = self._answered_at.get(target.zone, float("-inf"))
+            if now - answered_at > ANSWERED_SECONDS:
+                return _NOT_REACHED_TIER
         if now < target.cold_deadline:
             return _COLD_TIER
         if now < load.suspect_deadline:
             return _SUSPECT_TIER
         return 0
 
-    def _may_use_cold(self, target: RosterTarget, load: _Load, now: float) -> bool:
-        return now >= load.cold_place_at and self._may_place_cold(target)
+    def _may_use(
+        self, target: RosterTarget, tier: int, load: _Load, now: float
+    ) -> bool:
+        if tier < _COLD_TIER:
+            return True
+        if now < load.next_place_at:
+            return False
+        return tier != _COLD_TIER or self._may_place_cold(target)
 
     def _count(self, placed: _PlacedFlow, target: RosterTarget, now: float) -> None:
         placed.target = target
         placed.is_counted = True
         load = self._load(target.cookie)
         load.own += 1
+        tier = self._tier(target, load, now)
         if now < target.cold_deadline:
-            load.cold_place_at = now + COLD_SPACING_SECONDS
+            load.next_place_at = now + COLD_SPACING_SECONDS
+        elif tier == _NOT_REACHED_TIER:
+            load.next_place_at = now + PROBE_SPACING_SECONDS
         placed.placed_at = now
         seconds = max(COUNTED_AT_LEAST_SECONDS, load.usual * COUNTED_TIMES_USUAL)
         deadline = now + min(COUNTED_SECONDS, seconds)
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -275,7 +275,7 @@
     host = steward_host()
     host.packet("flow open 0")
     host.packet(f"flow end {host.mark('i-1')}", 0.1)
-    assert host.sent.to_hosts[-1] == (OTHER, FlowEnded(b"flow"))
+    assert host.sent.to_hosts[-1] == (OTHER, FlowEnded(b"flow", True))
 
 
 def test_without_a_server_a_new_flow_is_reset_at_once():
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -147,7 +147,7 @@
     number = 0
     while placement.open_flow(request(b"%d" % number), 0.0).outcome is Outcome.PLACED:
         number += 1
-    placement.end_flow(b"0", 0.05)
+    placement.end_flow(b"0", True, 0.05)
     assert released[0][0].flow == b"%d" % number
     assert released[0][1].outcome is Outcome.PLACED
 
@@ -159,7 +159,7 @@
     while placement.open_flow(request(b"%d" % number), 0.0).outcome is Outcome.PLACED:
         number += 1
     placement.open_flow(request(b"urgent", priority=0), 0.01)
-    placement.end_flow(b"0", 0.05)
+    placement.end_flow(b"0", True, 0.05)
     assert released[0][0].flow == b"urgent"
 
 
@@ -223,3 +223,28 @@
     placement = placement_of(roster)
     placement.take_report("other", [(busy.cookie, 3)], 0.0)
     assert placement.open_flow(request(b"1"), 0.1).target is idle
+
+
+def test_pattern_zone_cut_off_with_its_own_servers_out_refuses_at_once():
+    """Callers learn at once that nothing serves them, but for a try now and then."""
+    placement = placement_of(roster_of({"zone-a": 2, "zone-b": 2}))
+    placement.use_zones(frozenset({"zone-a"}), frozenset({"zone-b"}))
+    outcomes = []
+    for number in range(100):
+        decision = placement.open_flow(request(b"%d" % number), number * 0.01)
+        outcomes.append(decision.outcome)
+    assert outcomes.count(Outcome.HELD) == 0
+    assert 4 <= outcomes.count(Outcome.PLACED) <= 10
+
+
+def test_a_silent_zone_whose_servers_answer_is_used():
+    """The zone's entry hosts alone are lost; its servers serve callers of others."""
+    placement = placement_of(roster_of({"zone-a": 2, "zone-b": 2}))
+    placement.use_zones(frozenset({"zone-a"}), frozenset({"zone-b"}))
+    placed = 0
+    for number in range(100):
+        flow = b"%d" % number
+        outcome = placement.open_flow(request(flow), number * 0.01).outcome
+        placed += outcome is Outcome.PLACED
+        placement.end_flow(flow, True, number * 0.01 + 0.005)
+    assert placed > 90
--- a/tests/seeded_fakes.py
+++ b/tests/seeded_fakes.py
@@ -125,7 +125,7 @@
     def _advance(self, until: float) -> None:
         while self._ends and self._ends[0][0] <= until:
             self.now, flow = heapq.heappop(self._ends)
-            self.placement.end_flow(flow, self.now)
+            self.placement.end_flow(flow, True, self.now)
         self.now = until
         self.placement.tick(self.now)
 
