Leave in order: hosts told to stop announce it, and serve until others are back

Change: a host told to stop says so at once; one that the zone could spare goes before those told later; one that left unspared serves until others are back, within the grace. Entry hosts are told of each other when the list changes. Test: test_stewards.

--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -294,6 +294,7 @@
         if hosts != self._hosts:
             self._hosts = hosts
             self._hosts_digest = hash_bytes(msgspec.msgpack.encode(hosts)) >> 1
+            self._tell_followers()
 
     def _tell_followers(self) -> None:
         now = self._clock()
--- a/src/kingcuppulley/entry_hosts/leave_plan.py
+++ b/src/kingcuppulley/entry_hosts/leave_plan.py
@@ -2,25 +2,51 @@
 
 from __future__ import annotations
 
+# Others are back in rotation only some probes after they say that they are ready.
 SPARED_SECONDS = 0.6
 # Callers' packets must stop coming soon after the order, even if the zone suffers.
-STAY_SECONDS = 2.3
+STAY_SECONDS = 2.6
+# How long callers' packets may still come after the rotation was left.
+LEAVE_SECONDS = 1.3
 
 
 class LeavePlan:
-    """Wait until the zone can spare the host, but not for long."""
+    """Leave the rotation when the zone can spare the host, but not late, and then stop.
 
-    __slots__ = ("_leave_deadline", "_spared_at")
+    Where too few hosts are in rotation packets come to all of them, so that a host
+    which has left goes on serving until others are back.
+    """
 
-    def __init__(
-        self, now: float, latest_leave_deadline: float, is_spared: bool
-    ) -> None:
-        self._leave_deadline = min(now + STAY_SECONDS, latest_leave_deadline)
-        self._spared_at = now if is_spared else now + SPARED_SECONDS
+    __slots__ = ("_leave_deadline", "_leave_at", "_stop_at", "_stop_deadline")
+
+    def __init__(self, now: float, stop_deadline: float, is_spared: bool) -> None:
+        self._stop_deadline = stop_deadline
+        self._leave_deadline = min(now + STAY_SECONDS, stop_deadline - LEAVE_SECONDS)
+        self._leave_at: float | None = now if is_spared else None
+        self._stop_at: float | None = None
+
+    @property
+    def has_left(self) -> bool:
+        """Return whether the host has left the rotation."""
+        return self._stop_at is not None
 
     def may_leave(self, now: float, is_spared: bool) -> bool:
-        """Return whether to leave now, given whether the zone can spare the host."""
-        if not is_spared:
-            # Others are back in rotation only some probes after they say so.
-            self._spared_at = now + SPARED_SECONDS
-        return now >= min(self._spared_at, self._leave_deadline)
+        """Return whether to leave the rotation now."""
+        if self._leave_at is None and is_spared:
+            # Hosts that are told to stop later wait for this one.
+            self._leave_at = now + SPARED_SECONDS
+        leave_at = self._leave_deadline
+        if self._leave_at is not None:
+            leave_at = min(leave_at, self._leave_at)
+        if now < leave_at:
+            return False
+        self._stop_at = now + LEAVE_SECONDS
+        return True
+
+    def may_stop(self, now: float, is_spared: bool) -> bool:
+        """Return whether a host that has left the rotation may stop."""
+        if self._stop_at is None:
+            return False
+        # Two hosts that wait for each other would both stay down longer.
+        may_go = is_spared or self._leave_at is not None
+        return now >= self._stop_deadline or (may_go and now >= self._stop_at)
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -94,6 +94,7 @@
         self._follow_deadline = 0.0
         self._report_deadline = 0.0
         self._is_leaving = False
+        self._has_left = False
         self._now = 0.0
         self._table = RoutingTable()
         self._roster = Roster()
@@ -123,7 +124,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether callers' packets should come here."""
-        return self._router.is_ready and not self._is_leaving
+        return self._router.is_ready and not self._has_left
 
     @property
     def version(self) -> int:
@@ -152,11 +153,15 @@
         """Return whether the zone's other hosts can carry its traffic."""
         return self._stewards.can_spare_own(now)
 
-    def leave(self, now: float) -> None:
-        """Tell the others that this host stops soon."""
+    def announce_leaving(self, now: float) -> None:
+        """Tell the others that this host stops soon; it still serves."""
         self._is_leaving = True
         self._follow(now)
 
+    def leave(self) -> None:
+        """Leave the rotation."""
+        self._has_left = True
+
     def receive(self, address: str, message: object, now: float) -> None:
         """Take one message of another process."""
         self._now = now
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -36,7 +36,7 @@
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 TICK_SECONDS = 0.02
-LEAVE_SECONDS = 1.3
+STOP_SLACK_SECONDS = 0.4
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
@@ -120,7 +120,6 @@
         )
         self._packets.on_packet = self._packet
         self._leave_plan: LeavePlan | None = None
-        self._is_leaving = False
         self._ticker = LoopingCall(self._tick)
 
     def start(self) -> None:
@@ -147,26 +146,24 @@
         if self._leave_plan is not None:
             return
         now = self._clock.now()
-        latest = now + self._settings.grace_seconds - LEAVE_SECONDS
         is_spared = self._node.can_be_spared(now)
-        self._leave_plan = LeavePlan(now, latest, is_spared)
+        stop_deadline = now + self._settings.grace_seconds - STOP_SLACK_SECONDS
+        self._leave_plan = LeavePlan(now, stop_deadline, is_spared)
         self.log.always("told to stop", can_be_spared=is_spared)
-        self._watch_leaving(now)
+        self._node.announce_leaving(now)
 
-    def _watch_leaving(self, now: float) -> None:
-        if self._leave_plan is None or self._is_leaving:
-            return
-        if self._leave_plan.may_leave(now, self._node.can_be_spared(now)):
-            self._begin_leaving(now)
-
-    def _begin_leaving(self, now: float) -> None:
-        self._is_leaving = True
-        self.log.always("leaving")
-        self._node.leave(now)
-        self._reactor.callLater(LEAVE_SECONDS, self._stop)
-
-    def _stop(self) -> None:
-        self.log.always("stopped")
+    def _carry_out(self, plan: LeavePlan, now: float) -> None:
+        is_spared = self._node.can_be_spared(now)
+        if not plan.has_left:
+            if plan.may_leave(now, is_spared):
+                self.log.always("leaving", can_be_spared=is_spared)
+                self._node.leave()
+        elif plan.may_stop(now, is_spared):
+            self._stop(is_spared)
+
+    def _stop(self, is_spared: bool) -> None:
+        self.log.always("stopped", can_be_spared=is_spared)
+        self.log.flush()
         self._ticker.stop()
         self._reactor.stop()
 
@@ -179,7 +176,8 @@
     def _tick(self) -> None:
         now = self._clock.now()
         guarded(self._node.tick, now, self._metrics)
-        self._watch_leaving(now)
+        if self._leave_plan is not None:
+            self._carry_out(self._leave_plan, now)
         self.log.flush()
 
     def _answer(self, request: Request) -> None:
--- a/tests/cover/test_stewards.py
+++ b/tests/cover/test_stewards.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from kingcuppulley.entry_hosts.leave_plan import LeavePlan
 from kingcuppulley.entry_hosts.seeded_messages import EntryHostInfo
 from kingcuppulley.entry_hosts.stewards import (
@@ -74,15 +76,31 @@
     assert not stewards_of("a1").can_spare_own(0.0)
 
 
-ROTATION_SECONDS = 1.5
+# Two probes half a second apart, and as much for the rotation to follow.
+ROTATION_SECONDS = 1.3
 OUT_OF_ROTATION_SECONDS = 4.0
+STEP_SECONDS = 0.02
 
 
-def left_after(spared_from: float, latest: float = 5.0) -> float:
-    plan = LeavePlan(0.0, latest, spared_from <= 0.0)
+def left_after(spared_from: float, stop_deadline: float = 5.6) -> float:
+    plan = LeavePlan(0.0, stop_deadline, spared_from <= 0.0)
     now = 0.0
     while not plan.may_leave(now, now >= spared_from):
-        now += 0.02
+        now += STEP_SECONDS
+    return now
+
+
+def stopped_after(spared: list[tuple[float, float]], stop_deadline: float) -> float:
+    def is_spared(now: float) -> bool:
+        return any(begin <= now < end for begin, end in spared)
+
+    plan = LeavePlan(0.0, stop_deadline, is_spared(0.0))
+    now = 0.0
+    while not plan.has_left:
+        plan.may_leave(now, is_spared(now))
+        now += STEP_SECONDS
+    while not plan.may_stop(now, is_spared(now)):
+        now += STEP_SECONDS
     return now
 
 
@@ -99,4 +117,29 @@
 
 
 def test_a_short_grace_goes_before_the_zone():
-    assert left_after(spared_from=99.0, latest=0.5) < 0.6
+    assert left_after(spared_from=99.0, stop_deadline=1.8) < 0.6
+
+
+def test_a_host_that_was_spared_once_goes_before_those_that_are_told_later():
+    plan = LeavePlan(0.0, 5.6, is_spared=False)
+    assert not plan.may_leave(0.7, is_spared=True)
+    assert not plan.may_leave(1.2, is_spared=False)
+    assert plan.may_leave(1.4, is_spared=False)
+
+
+def test_pattern_rolling_restart_a_host_that_left_serves_until_another_is_back():
+    assert stopped_after([(3.9, 99.0)], stop_deadline=5.6) == pytest.approx(
+        3.9, abs=0.1
+    )
+
+
+def test_a_host_stops_before_it_is_killed():
+    assert stopped_after([], stop_deadline=5.6) == pytest.approx(5.6, abs=0.1)
+
+
+def test_a_host_that_is_spared_stops_when_packets_have_ceased():
+    assert 1.2 < stopped_after([(0.0, 99.0)], stop_deadline=5.6) < 1.5
+
+
+def test_a_host_that_was_spared_once_does_not_wait_for_those_that_are_told_later():
+    assert 1.8 < stopped_after([(0.02, 0.5)], stop_deadline=5.6) < 2.1
