Avoid a server longer each time it does not answer

Change: doubled up to 8 s, until it answers. Test failed first: a dead server got 10 flows in ten seconds.

--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -19,6 +19,7 @@
 REMEMBERED_SECONDS = 3.0
 REPORT_SECONDS = 0.5
 SUSPECT_SECONDS = 1.0
+LONGEST_SUSPECT_SECONDS = 8.0
 # Less than the time after which callers repeat an opening packet: a repeated one then
 # says that no server has answered, and refusing it breaks no flow that has just opened.
 HOLD_SECONDS = 0.18
@@ -110,17 +111,36 @@
 class _Load:
     """Count the flows of one backend server, and what speaks against it."""
 
-    __slots__ = ("own", "reported", "suspect_deadline", "next_place_at", "usual")
+    __slots__ = (
+        "own",
+        "reported",
+        "suspect_seconds",
+        "suspect_deadline",
+        "next_place_at",
+        "usual",
+    )
 
     def __init__(self) -> None:
         self.own = 0
         self.usual = COUNTED_AT_LEAST_SECONDS / COUNTED_TIMES_USUAL
         self.reported: dict[str, tuple[int, float]] = {}
+        self.suspect_seconds = SUSPECT_SECONDS
         self.suspect_deadline = 0.0
         self.next_place_at = 0.0
 
+    def suspect(self, now: float) -> None:
+        """Avoid a server that did not answer, longer each time until it answers."""
+        if now < self.suspect_deadline:
+            return
+        self.suspect_deadline = now + self.suspect_seconds
+        self.suspect_seconds = min(LONGEST_SUSPECT_SECONDS, 2 * self.suspect_seconds)
+
     def learn(self, seconds: float) -> None:
-        """Take how long a flow lasted; one of a caller that lingers tells little."""
+        """Take how long an answered flow lasted.
+
+        A caller that lingers tells little of its server.
+        """
+        self.suspect_seconds = SUSPECT_SECONDS
         seconds = min(seconds, USUAL_GROWTH * self.usual)
         self.usual += USUAL_WEIGHT * (seconds - self.usual)
 
@@ -221,8 +241,7 @@
             return
         if was_answered:
             self._answered_at[placed.target.zone] = now
-            if placed.is_counted:
-                self._load(placed.target.cookie).learn(now - placed.placed_at)
+            self._load(placed.target.cookie).learn(now - placed.placed_at)
         self._uncount(placed)
         self._release_held(placed.target.service, now)
 
@@ -247,8 +266,7 @@
         if request.copy <= len(placed.missed):
             return Decision(Outcome.PLACED, placed.target, "repeated")
         missed = placed.target
-        load = self._load(missed.cookie)
-        load.suspect_deadline = now + SUSPECT_SECONDS
+        self._load(missed.cookie).suspect(now)
         placed.missed.append(missed.cookie)
         target = self._choose(request.service, placed.missed, now)[0]
         if target is None:
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -248,3 +248,24 @@
         placed += outcome is Outcome.PLACED
         placement.end_flow(flow, True, number * 0.01 + 0.005)
     assert placed > 90
+
+
+def test_pattern_a_server_is_dead_and_its_host_hears_no_news():
+    """A host cut off from control learns from its own packets, ever more surely."""
+    run = LoadRun(roster_of({"zone-a": 5}))
+    run.servers["i-1"].is_silent = True
+    run.play(per_second=100, seconds=5, work=WORK_SECONDS)
+    early = run.arrivals["i-1"]
+    run.play(per_second=100, seconds=10, work=WORK_SECONDS)
+    assert run.arrivals["i-1"] - early <= 4
+
+
+def test_a_server_that_answers_again_is_trusted_again():
+    run = LoadRun(roster_of({"zone-a": 3}))
+    run.servers["i-1"].is_silent = True
+    run.play(per_second=100, seconds=5, work=WORK_SECONDS)
+    run.servers["i-1"].is_silent = False
+    run.play(per_second=100, seconds=9, work=WORK_SECONDS)
+    before = run.arrivals["i-1"]
+    run.play(per_second=100, seconds=5, work=WORK_SECONDS)
+    assert run.arrivals["i-1"] - before > 100
