--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -12,6 +12,7 @@
 from kingcuppulley.control.state import RoutingState
 from kingcuppulley.entry_hosts.flow_log import Beliefs, FlowLog
 from kingcuppulley.entry_hosts.seeded_messages import (
+    CarryPacket,
     ControlNews,
     EntryHostInfo,
     FetchHosts,
@@ -166,6 +167,8 @@
         """Take one message of another process."""
         self._now = now
         match message:
+            case CarryPacket():
+                self._router.carry_for_host(message.packet, now)
             case PlaceFlow():
                 self._router.place_for_host(address, message, now)
             case FlowTaken():
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -91,5 +91,11 @@
     loads: list[tuple[int, int]]
 
 
-FlowMessage = PlaceFlow | FlowTaken | FlowRefused | FlowEnded
+class CarryPacket(msgspec.Struct, frozen=True, array_like=True, tag="cp"):
+    """Ask a neighbour to carry a packet whose mark is not known here."""
+
+    packet: bytes
+
+
+FlowMessage = CarryPacket | PlaceFlow | FlowTaken | FlowRefused | FlowEnded
 EntryMessage = FlowMessage | LoadReport
--- a/src/kingcuppulley/entry_hosts/stewards.py
+++ b/src/kingcuppulley/entry_hosts/stewards.py
@@ -66,6 +66,13 @@
         ]
         return 2 * len(others) >= len(lately)
 
+    def neighbour(self, service: str, now: float) -> str | None:
+        """Return the best other host of the own zone to ask about a service."""
+        for address in self._ranked(self._zone, service):
+            if address != self._address and now >= self._suspects.get(address, 0.0):
+                return address
+        return None
+
     def take_report(self, zone: str, now: float) -> None:
         """Note that a zone was heard."""
         self._reported_at[zone] = now
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -6,8 +6,9 @@
 from typing import Protocol
 
 from kingcuppulley.backend_servers.heartbeats import ServingState
-from kingcuppulley.backend_servers.roster import Roster
+from kingcuppulley.backend_servers.roster import Roster, RosterTarget
 from kingcuppulley.entry_hosts.seeded_messages import (
+    CarryPacket,
     FlowEnded,
     FlowMessage,
     FlowRefused,
@@ -122,6 +123,16 @@
         )
         self._place(request, now)
 
+    def carry_for_host(self, packet: bytes, now: float) -> None:
+        """Carry a packet whose mark another host of the zone does not know."""
+        head = self._packets.read(packet)
+        target = self._roster.by_cookie(head.cookie)
+        if target is None:
+            self._drop_unknown(head)
+        else:
+            self._counts["packets_carried_for_hosts"] += 1
+            self._send_on(packet, head, target)
+
     def flow_taken(self, taken: FlowTaken) -> None:
         """Stop waiting for a steward's answer."""
         self._awaited.pop(taken.flow, None)
@@ -234,11 +245,30 @@
             self._end(head.flow, head.cookie != 0, now)
         target = self._roster.by_cookie(head.cookie)
         if target is None:
-            self._counts["packets_with_unknown_mark"] += 1
-            self._log.went_wrong(
-                head.flow, "dropped", reason="unknown mark", mark=head.cookie
-            )
+            self._pass_on(packet, head, now)
             return
+        self._send_on(packet, head, target)
+
+    def _pass_on(self, packet: bytes, head: FlowPacket, now: float) -> None:
+        """Let a neighbour carry a packet: it may have heard of a newer server."""
+        self._counts["packets_with_unknown_mark"] += 1
+        route = self._table.route(head.service_key)
+        neighbour = None
+        if route is not None and head.cookie:
+            service = route.service_of(head.flow)
+            neighbour = self._stewards.neighbour(service, now)
+        if neighbour is None:
+            self._drop_unknown(head)
+        else:
+            self._port.send_to_host(neighbour, CarryPacket(packet))
+
+    def _drop_unknown(self, head: FlowPacket) -> None:
+        self._counts["packets_dropped_unknown"] += 1
+        self._log.went_wrong(
+            head.flow, "dropped", reason="unknown mark", mark=head.cookie
+        )
+
+    def _send_on(self, packet: bytes, head: FlowPacket, target: RosterTarget) -> None:
         if not self._table.may_carry(head.service_key, target.service):
             self._counts["packets_of_removed_route"] += 1
             self._log.went_wrong(head.flow, "dropped", reason="route removed")
