Tell many changed servers in parts, and work out the size to design for from messages

Cause, found by working out the page: 6,000 servers in one answer are 534 kB, more than a datagram holds, and each question looked at every server. Answers hold 400 servers and say that there are more; the ledger keeps its entries in order of change. Tests: test_heartbeats, test_seeded_capacity.

--- a/src/kingcuppulley/backend_servers/heartbeats.py
+++ b/src/kingcuppulley/backend_servers/heartbeats.py
@@ -8,6 +8,7 @@
 
 SILENT_HEARTBEATS = 3.5
 FORGET_AFTER_SECONDS = 90.0
+MAXIMUM_NEWS = 400
 
 
 class ServingState(StrEnum):
@@ -84,6 +85,17 @@
         self.change = change
 
 
+class LedgerNews:
+    """Hold servers that changed, up to which change, and whether there are more."""
+
+    __slots__ = ("targets", "change", "has_more")
+
+    def __init__(self, targets: list[HeardTarget], change: int, has_more: bool) -> None:
+        self.targets = targets
+        self.change = change
+        self.has_more = has_more
+
+
 class HeartbeatLedger:
     """Remember heartbeats and number their changes, for hosts that follow."""
 
@@ -103,8 +115,12 @@
         if entry is not None and not _is_newer(heartbeat, entry):
             return False
         is_news = entry is None or _is_news(heartbeat, entry)
-        self._change += is_news
-        number = self._change if entry is None or is_news else entry.change
+        if is_news or entry is None:
+            self._change += 1
+            self._entries.pop(heartbeat.name, None)
+            number = self._change
+        else:
+            number = entry.change
         self._entries[heartbeat.name] = _Entry(heartbeat, now, number)
         return is_news
 
@@ -113,7 +129,7 @@
         entry = self._entries.get(name)
         if entry is None or entry.state is ServingState.GONE:
             return False
-        self._set_state(entry, ServingState.GONE)
+        self._set_state(name, entry, ServingState.GONE)
         entry.heard_at = now
         return True
 
@@ -132,21 +148,29 @@
                 ServingState.READY,
                 ServingState.DRAINING,
             ):
-                self._set_state(entry, ServingState.SILENT)
+                self._set_state(name, entry, ServingState.SILENT)
         return self._change > before
 
-    def changes_since(self, change: int, now: float) -> list[HeardTarget]:
-        """Return every backend server that changed after a number."""
-        return [
-            _described(entry, now)
-            for entry in self._entries.values()
-            if entry.change > change
-        ]
-
-    def _set_state(self, entry: _Entry, state: ServingState) -> None:
+    def changes_since(self, change: int, now: float) -> LedgerNews:
+        """Return the first servers that changed after a number, oldest change first."""
+        newest_first = []
+        for entry in reversed(self._entries.values()):
+            if entry.change <= change:
+                break
+            newest_first.append(entry)
+        entries = newest_first[::-1][:MAXIMUM_NEWS]
+        has_more = len(newest_first) > len(entries)
+        up_to = entries[-1].change if has_more else self._change
+        return LedgerNews(
+            [_described(entry, now) for entry in entries], up_to, has_more
+        )
+
+    def _set_state(self, name: str, entry: _Entry, state: ServingState) -> None:
         self._change += 1
         entry.change = self._change
         entry.state = state
+        # The dictionary is in order of changes, so that news are found at its end.
+        self._entries[name] = self._entries.pop(name)
 
 
 def _is_newer(heartbeat: Heartbeat, entry: _Entry) -> bool:
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -304,12 +304,14 @@
     def _tell(self, address: str, follower: _Follower, now: float) -> None:
         since = follower.change if follower.instance == self._instance else 0
         current = self._ensemble.current
+        changes = self._ledger.changes_since(since, now)
         news = ControlNews(
             self._address,
             self._instance,
             since,
-            self._ledger.change,
-            self._ledger.changes_since(since, now),
+            changes.change,
+            changes.has_more,
+            changes.targets,
             self._hosts_digest,
             [self._address, *self._ensemble.live_hosts(now)],
             current.revision if current is not None else -1,
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -207,16 +207,19 @@
 
     def _follow(self, now: float) -> None:
         for host in {*self._seeds, *self._sources}:
-            instance, change = self._roster.position(host)
-            follow = FollowControl(
-                self._address,
-                self._zone,
-                self._router.is_ready,
-                self._is_leaving,
-                instance,
-                change,
-            )
-            self._send(host, follow)
+            self._ask(host)
+
+    def _ask(self, host: str) -> None:
+        instance, change = self._roster.position(host)
+        follow = FollowControl(
+            self._address,
+            self._zone,
+            self._router.is_ready,
+            self._is_leaving,
+            instance,
+            change,
+        )
+        self._send(host, follow)
 
     def _note_lost(self, now: float) -> None:
         for host, source in list(self._sources.items()):
@@ -245,6 +248,8 @@
             news.host, news.instance, news.change, news.targets, now
         )
         self._changed(changed)
+        if news.has_more:
+            self._ask(news.host)
         source.hosts_digest = news.hosts_digest
         self._fetch_hosts(news, now)
         if news.revision > self._newest_revision:
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -40,7 +40,8 @@
 class ControlNews(msgspec.Struct, frozen=True, array_like=True, tag="cn"):
     """Tell what is news to an entry host.
 
-    `since` is the change that the list of targets begins after.  `hosts_digest` names
+    The list of targets holds what changed after `since` up to `change`; `has_more`
+    says that it was too long for one message.  `hosts_digest` names
     the list of entry hosts: control hosts that have heard the same send equal digests,
     so that an entry host fetches each list once.  `revision` is the routing state's.
     """
@@ -49,6 +50,7 @@
     instance: str
     since: int
     change: int
+    has_more: bool
     targets: list[HeardTarget]
     hosts_digest: int
     control_hosts: list[str]
--- a/tests/cover/test_heartbeats.py
+++ b/tests/cover/test_heartbeats.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from kingcuppulley.backend_servers.heartbeats import HeartbeatLedger, ServingState
+from kingcuppulley.backend_servers.heartbeats import (
+    MAXIMUM_NEWS,
+    HeartbeatLedger,
+    ServingState,
+)
 from kingcuppulley.backend_servers.roster import ORPHAN_SECONDS, Roster, cookie_of
 from tests.seeded_fakes import heard, heartbeat
 
@@ -13,14 +17,14 @@
     ledger = HeartbeatLedger(HEARTBEAT_SECONDS)
     assert ledger.hear(heartbeat(sequence=1), 0.0)
     assert not ledger.hear(heartbeat(sequence=2), 1.0)
-    assert len(ledger.changes_since(0, 1.0)) == 1
+    assert len(ledger.changes_since(0, 1.0).targets) == 1
 
 
 def test_a_late_heartbeat_changes_nothing():
     ledger = HeartbeatLedger(HEARTBEAT_SECONDS)
     ledger.hear(heartbeat(sequence=5, state=ServingState.DRAINING), 0.0)
     assert not ledger.hear(heartbeat(sequence=4), 0.1)
-    assert ledger.changes_since(0, 0.1)[0].state is ServingState.DRAINING
+    assert ledger.changes_since(0, 0.1).targets[0].state is ServingState.DRAINING
 
 
 def test_a_heartbeat_of_an_earlier_life_changes_nothing():
@@ -40,7 +44,7 @@
     ledger.hear(heartbeat(sequence=5), 0.0)
     assert ledger.leave("i-1", 1.0)
     assert not ledger.hear(heartbeat(sequence=6), 1.1)
-    assert ledger.changes_since(0, 1.1)[0].state is ServingState.GONE
+    assert ledger.changes_since(0, 1.1).targets[0].state is ServingState.GONE
 
 
 def test_silence_is_news_and_so_is_its_end():
@@ -48,7 +52,7 @@
     ledger.hear(heartbeat(sequence=1), 0.0)
     assert not ledger.tick(3.0)
     assert ledger.tick(4.0)
-    assert ledger.changes_since(0, 4.0)[0].state is ServingState.SILENT
+    assert ledger.changes_since(0, 4.0).targets[0].state is ServingState.SILENT
     assert ledger.hear(heartbeat(sequence=2), 5.0)
 
 
@@ -80,8 +84,8 @@
     second.hear(heartbeat(sequence=2), 1.0)
     first.hear(heartbeat(sequence=3), 2.0)
     second.tick(9.0)
-    roster.update("a", "life", 9, first.changes_since(0, 9.0), 9.0)
-    roster.update("b", "life", 9, second.changes_since(0, 9.0), 9.0)
+    roster.update("a", "life", 9, first.changes_since(0, 9.0).targets, 9.0)
+    roster.update("b", "life", 9, second.changes_since(0, 9.0).targets, 9.0)
     assert roster.of_service("order-desk")[0].takes_new_flows
 
 
@@ -114,3 +118,24 @@
 
 def test_no_mark_is_zero():
     assert all(cookie_of(f"i-{n:x}", n) for n in range(1, 2000))
+
+
+def test_many_changes_are_told_in_parts_that_each_fit_one_message():
+    ledger = HeartbeatLedger(HEARTBEAT_SECONDS)
+    roster = Roster()
+    for number in range(1, 1001):
+        ledger.hear(heartbeat(f"i-{number:x}", sequence=1), 0.0)
+    ledger.hear(heartbeat("i-1", sequence=2, state=ServingState.DRAINING), 0.1)
+    parts = 0
+    has_more = True
+    while has_more:
+        _, change = roster.position("control")
+        news = ledger.changes_since(change, 0.1)
+        assert len(news.targets) <= MAXIMUM_NEWS
+        roster.update("control", "life", news.change, news.targets, 0.1)
+        has_more = news.has_more
+        parts += 1
+    assert parts == 3
+    assert len(list(roster.targets)) == 1000
+    assert sum(target.takes_new_flows for target in roster.targets) == 999
+    assert ledger.changes_since(news.change, 0.1).targets == []
--- /dev/null
+++ b/tests/cover/test_seeded_capacity.py
@@ -0,0 +1,30 @@
+"""Check that the page of capacities holds what its command prints."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from kingcuppulley.experiments.seeded_capacity import rows
+from kingcuppulley.internal.datagram_link import MAXIMUM_DATAGRAM_BYTES
+
+PAGE = Path(__file__).parents[2] / "docs" / "CAPACITY.md"
+BUDGET_BYTES_PER_SECOND = 11_000
+
+
+def test_the_page_holds_every_figure():
+    page = PAGE.read_text()
+    assert [str(row) for row in rows() if str(row) not in page] == []
+
+
+def test_control_of_an_entry_host_stays_in_its_budget():
+    figures = {row.what: row.value for row in rows()}
+    assert figures["entry host: sum at rest"] < BUDGET_BYTES_PER_SECOND
+
+
+def test_every_message_fits_one_datagram():
+    figures = {row.what: row.value for row in rows()}
+    assert figures["the longest answer"] < MAXIMUM_DATAGRAM_BYTES
+    assert figures["a list of all entry hosts"] < MAXIMUM_DATAGRAM_BYTES
+    assert (
+        figures["a configuration of all addresses, compressed"] < MAXIMUM_DATAGRAM_BYTES
+    )
