One type for a heartbeat and its passing on; an older word never warms a cold server

Cause, found by reading: a word told again by another control host reset the deadline until which a zone that is back counts as cold. A leave is the last word of a life.

--- a/src/kingcuppulley/backend_servers/heartbeats.py
+++ b/src/kingcuppulley/backend_servers/heartbeats.py
@@ -20,8 +20,8 @@
     SILENT = "silent"
 
 
-class Heartbeat(msgspec.Struct, frozen=True):
-    """Hold one heartbeat of a backend server.
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """Hold one heartbeat of a backend server, and pass it on to entry hosts.
 
     Attributes
     ----------
@@ -30,7 +30,7 @@
     sequence : int
         Grows with each heartbeat of one life.
     cold_seconds : float
-        How much longer the server says that it is cold.
+        How much longer the server is cold, from the moment when this was sent.
     identity : bytes
         Names this server in a packet that is meant for it alone.
     """
@@ -48,30 +48,6 @@
     cold_seconds: float
 
 
-class HeardTarget(msgspec.Struct, frozen=True, array_like=True):
-    """Describe a backend server as one control host heard it.
-
-    `cold_seconds` counts from the moment when this was sent.
-    """
-
-    name: str
-    identity: bytes
-    service: str
-    zone: str
-    host: str
-    port: int
-    state: ServingState
-    born: int
-    sequence: int
-    slots: int
-    cold_seconds: float
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """Return what orders two descriptions of one backend server."""
-        return (self.born, self.sequence)
-
-
 class _Entry:
     """Hold the last heartbeat of one backend server."""
 
@@ -90,7 +66,7 @@
 
     __slots__ = ("targets", "change", "has_more")
 
-    def __init__(self, targets: list[HeardTarget], change: int, has_more: bool) -> None:
+    def __init__(self, targets: list[Heartbeat], change: int, has_more: bool) -> None:
         self.targets = targets
         self.change = change
         self.has_more = has_more
@@ -193,18 +169,8 @@
     return heartbeat.sequence != held.sequence + 1
 
 
-def _described(entry: _Entry, now: float) -> HeardTarget:
-    held = entry.heartbeat
-    return HeardTarget(
-        held.name,
-        held.identity,
-        held.service,
-        held.zone,
-        held.host,
-        held.port,
-        entry.state,
-        held.born,
-        held.sequence,
-        held.slots,
-        max(0.0, entry.cold_deadline - now),
+def _described(entry: _Entry, now: float) -> Heartbeat:
+    cold_seconds = max(0.0, entry.cold_deadline - now)
+    return msgspec.structs.replace(
+        entry.heartbeat, state=entry.state, cold_seconds=cold_seconds
     )
--- a/src/kingcuppulley/backend_servers/roster.py
+++ b/src/kingcuppulley/backend_servers/roster.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from kingcuppulley.backend_servers.heartbeats import HeardTarget, ServingState
+from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
 from kingcuppulley.internal.rendezvous import hash_name
 
 ORPHAN_SECONDS = 4.0
@@ -34,7 +34,7 @@
         "cookie",
     )
 
-    def __init__(self, heard: HeardTarget) -> None:
+    def __init__(self, heard: Heartbeat) -> None:
         self.name = heard.name
         self.service = heard.service
         self.zone = heard.zone
@@ -65,7 +65,7 @@
     def __init__(self, instance: str) -> None:
         self.instance = instance
         self.change = 0
-        self.heard: dict[str, HeardTarget] = {}
+        self.heard: dict[str, Heartbeat] = {}
 
 
 class Roster:
@@ -78,7 +78,7 @@
 
     def __init__(self) -> None:
         self._sources: dict[str, _Source] = {}
-        self._orphans: list[tuple[float, dict[str, HeardTarget]]] = []
+        self._orphans: list[tuple[float, dict[str, Heartbeat]]] = []
         self._targets: dict[str, RosterTarget] = {}
         self._by_cookie: dict[int, RosterTarget] = {}
         self._by_service: dict[str, list[RosterTarget]] = {}
@@ -106,7 +106,7 @@
         host: str,
         instance: str,
         change: int,
-        heard: list[HeardTarget],
+        heard: list[Heartbeat],
         now: float,
     ) -> list[RosterTarget]:
         """Take what a control host tells and return the servers that changed."""
@@ -147,28 +147,21 @@
             if target is not None:
                 target.state = ServingState.SILENT
             return target
-        newest = max(told, key=_freshness)
+        newest = max(told, key=_finality)
         if target is None or target.born != newest.born:
             return self._add(newest, now)
-        if any(each.state is ServingState.GONE for each in told):
-            gone = max(each.born for each in told if each.state is ServingState.GONE)
-            if gone == newest.born:
-                newest = next(
-                    each
-                    for each in told
-                    if each.born == gone and each.state is ServingState.GONE
-                )
-        changed = target.state is not newest.state
+        has_changed = target.state is not newest.state
         target.state = newest.state
         target.slots = newest.slots
         target.endpoint = (newest.host, newest.port)
-        target.cold_deadline = now + newest.cold_seconds if newest.cold_seconds else 0.0
-        return target if changed else None
+        # Never sooner: a zone that is back counts as cold whatever was said before.
+        cold_deadline = now + newest.cold_seconds
+        target.cold_deadline = max(target.cold_deadline, cold_deadline)
+        return target if has_changed else None
 
-    def _add(self, heard: HeardTarget, now: float) -> RosterTarget:
+    def _add(self, heard: Heartbeat, now: float) -> RosterTarget:
         target = RosterTarget(heard)
-        if heard.cold_seconds:
-            target.cold_deadline = now + heard.cold_seconds
+        target.cold_deadline = now + heard.cold_seconds
         earlier = self._targets.get(heard.name)
         self._targets[heard.name] = target
         if earlier is not None:
@@ -180,5 +173,7 @@
         return target
 
 
-def _freshness(heard: HeardTarget) -> tuple[int, int]:
-    return heard.order
+def _finality(heartbeat: Heartbeat) -> tuple[int, bool, int]:
+    """Order words on one server: of its last life, a leave is the last word."""
+    has_left = heartbeat.state is ServingState.GONE
+    return (heartbeat.born, has_left, heartbeat.sequence)
--- a/src/kingcuppulley/backend_servers/steward.py
+++ b/src/kingcuppulley/backend_servers/steward.py
@@ -125,11 +125,6 @@
         """Return the leases that are counted now."""
         return list(self._leases.values())
 
-    @property
-    def queue_length(self) -> int:
-        """Return how many requests wait for a slot."""
-        return len(self._queue)
-
     def proven_limits(self) -> dict[str, int]:
         """Return the limit of each backend server that differs from its record."""
         return {
--- /dev/null
+++ b/src/kingcuppulley/control/folders.py
@@ -0,0 +1,15 @@
+"""Make names in a data folder durable."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+
+def sync_folder(folder: Path) -> None:
+    """Return once files that were made or renamed in a folder are durable there."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/src/kingcuppulley/control/journal.py
+++ b/src/kingcuppulley/control/journal.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Protocol
 
+from kingcuppulley.control.folders import sync_folder
 from kingcuppulley.errors import CorruptedRecordError, StorageError
 
 _HEADER = struct.Struct("!II")
@@ -98,7 +99,7 @@
             finally:
                 os.close(descriptor)
             os.replace(rewritten, self._path)
-            self._sync_folder()
+            sync_folder(self._folder)
         except OSError as error:
             raise StorageError(str(self._path), error.strerror or "failed") from error
         self.close()
@@ -129,7 +130,7 @@
             self._folder.mkdir(parents=True, exist_ok=True)
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
             self._file = os.open(self._path, flags, 0o600)
-            self._sync_folder()
+            sync_folder(self._folder)
         return self._file
 
     def _take_back(self) -> None:
@@ -149,13 +150,6 @@
         except OSError as error:
             raise StorageError(str(self._path), error.strerror or "failed") from error
 
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
 
 def _framed(record: bytes) -> bytes:
     return _HEADER.pack(len(record), zlib.crc32(record)) + record
--- a/src/kingcuppulley/control/vote_store.py
+++ b/src/kingcuppulley/control/vote_store.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from kingcuppulley.control.folders import sync_folder
 from kingcuppulley.control.state import Vote
 from kingcuppulley.errors import StorageError
 
@@ -88,7 +89,7 @@
             path = self._folder / _SLOTS[slot]
             descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
             self._descriptors[slot] = descriptor
-            self._sync_folder()
+            sync_folder(self._folder)
         return descriptor
 
     def _close(self, slot: int) -> None:
@@ -98,13 +99,6 @@
         if descriptor is not None:
             os.close(descriptor)
 
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
 
 def _checksum(generation: int, payload: bytes) -> int:
     return zlib.crc32(payload, zlib.crc32(_GENERATION.pack(generation)))
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from kingcuppulley.backend_servers.heartbeats import HeardTarget
+from kingcuppulley.backend_servers.heartbeats import Heartbeat
 
 
 class EntryHostInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -51,7 +51,7 @@
     since: int
     change: int
     has_more: bool
-    targets: list[HeardTarget]
+    targets: list[Heartbeat]
     hosts_digest: int
     control_hosts: list[str]
     revision: int
--- a/src/kingcuppulley/experiments/seeded_capacity.py
+++ b/src/kingcuppulley/experiments/seeded_capacity.py
@@ -12,7 +12,7 @@
 
 from kingcuppulley.backend_servers.heartbeats import (
     MAXIMUM_NEWS,
-    HeardTarget,
+    Heartbeat,
     ServingState,
 )
 from kingcuppulley.control.seeded_host import COMPRESSION_LEVEL
@@ -62,9 +62,9 @@
     return len(msgspec.msgpack.encode(message)) + DATAGRAM_HEAD_BYTES
 
 
-def a_target() -> HeardTarget:
+def a_target() -> Heartbeat:
     """Return a backend server as control hosts tell it."""
-    return HeardTarget(
+    return Heartbeat(
         "i-7f3a91c2",
         bytes(8),
         "order-desk",
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -29,7 +29,7 @@
     RoutingTable,
     ServiceShare,
 )
-from tests.seeded_fakes import heard
+from tests.seeded_fakes import heartbeat
 
 KEY = b"address:port"
 OWN, OTHER = "a1", "a2"
@@ -115,7 +115,7 @@
             self.sent,
         )
         self.router.is_ready = True
-        self.hear(heard("i-1", host="10.0.0.1"), heard("i-2", host="10.0.0.2"))
+        self.hear(heartbeat("i-1", host="10.0.0.1"), heartbeat("i-2", host="10.0.0.2"))
 
     def hear(self, *servers, change=1):
         self.roster.update("control", "life", change, list(servers), 0.0)
@@ -160,7 +160,7 @@
 def test_flows_stay_with_a_server_that_drains():
     host = Host(OWN)
     mark = host.mark("i-1")
-    host.hear(heard("i-1", sequence=2, state=ServingState.DRAINING), change=2)
+    host.hear(heartbeat("i-1", sequence=2, state=ServingState.DRAINING), change=2)
     host.packet(f"flow data {mark}")
     assert host.sent.to_targets
     for number in range(8):
@@ -178,7 +178,7 @@
 
 def test_a_flow_never_reaches_a_service_that_its_route_never_named():
     host = Host(OWN)
-    host.hear(heard("i-3", service="drawing-store"), change=2)
+    host.hear(heartbeat("i-3", service="drawing-store"), change=2)
     host.packet(f"flow data {host.mark('i-3')}")
     assert not host.sent.to_targets
 
@@ -253,7 +253,7 @@
 
 def without_servers(host: Host) -> Host:
     for name in ("i-1", "i-2"):
-        host.hear(heard(name, sequence=2, state=ServingState.SILENT), change=2)
+        host.hear(heartbeat(name, sequence=2, state=ServingState.SILENT), change=2)
     return host
 
 
--- a/tests/cover/test_heartbeats.py
+++ b/tests/cover/test_heartbeats.py
@@ -8,7 +8,7 @@
     ServingState,
 )
 from kingcuppulley.backend_servers.roster import ORPHAN_SECONDS, Roster, cookie_of
-from tests.seeded_fakes import heard, heartbeat
+from tests.seeded_fakes import heartbeat
 
 HEARTBEAT_SECONDS = 1.0
 
@@ -58,11 +58,15 @@
 
 def test_the_newest_word_of_any_control_host_counts():
     roster = Roster()
-    roster.update("control-a", "life", 1, [heard(sequence=3)], 0.0)
+    roster.update("control-a", "life", 1, [heartbeat(sequence=3)], 0.0)
     roster.update(
-        "control-b", "life", 1, [heard(sequence=4, state=ServingState.DRAINING)], 0.0
+        "control-b",
+        "life",
+        1,
+        [heartbeat(sequence=4, state=ServingState.DRAINING)],
+        0.0,
     )
-    roster.update("control-a", "life", 2, [heard(sequence=3)], 0.0)
+    roster.update("control-a", "life", 2, [heartbeat(sequence=3)], 0.0)
     target = roster.of_service("order-desk")[0]
     assert target.state is ServingState.DRAINING
 
@@ -70,9 +74,9 @@
 def test_silence_at_one_control_host_is_outlived_by_a_heartbeat_at_another():
     roster = Roster()
     roster.update(
-        "control-a", "life", 1, [heard(sequence=3, state=ServingState.SILENT)], 0.0
+        "control-a", "life", 1, [heartbeat(sequence=3, state=ServingState.SILENT)], 0.0
     )
-    roster.update("control-b", "life", 1, [heard(sequence=4)], 0.0)
+    roster.update("control-b", "life", 1, [heartbeat(sequence=4)], 0.0)
     assert roster.of_service("order-desk")[0].takes_new_flows
 
 
@@ -91,7 +95,7 @@
 
 def test_servers_outlive_a_restart_of_the_control_host_they_called():
     roster = Roster()
-    roster.update("control", "life-1", 1, [heard()], 0.0)
+    roster.update("control", "life-1", 1, [heartbeat()], 0.0)
     roster.update("control", "life-2", 0, [], 1.0)
     assert roster.of_service("order-desk")[0].takes_new_flows
     roster.tick(1.0 + ORPHAN_SECONDS)
@@ -100,16 +104,16 @@
 
 def test_a_server_announces_itself_to_the_new_life_of_a_control_host():
     roster = Roster()
-    roster.update("control", "life-1", 1, [heard(sequence=1)], 0.0)
-    roster.update("control", "life-2", 1, [heard(sequence=2)], 1.0)
+    roster.update("control", "life-1", 1, [heartbeat(sequence=1)], 0.0)
+    roster.update("control", "life-2", 1, [heartbeat(sequence=2)], 1.0)
     roster.tick(1.0 + ORPHAN_SECONDS)
     assert roster.of_service("order-desk")[0].takes_new_flows
 
 
 def test_the_mark_of_an_earlier_life_leads_nowhere():
     roster = Roster()
-    roster.update("control", "life", 1, [heard(born=1000)], 0.0)
-    roster.update("control", "life", 2, [heard(born=2000)], 1.0)
+    roster.update("control", "life", 1, [heartbeat(born=1000)], 0.0)
+    roster.update("control", "life", 2, [heartbeat(born=2000)], 1.0)
     assert roster.by_cookie(cookie_of("i-1", 1000)) is None
     target = roster.by_cookie(cookie_of("i-1", 2000))
     assert target is not None
@@ -139,3 +143,23 @@
     assert len(list(roster.targets)) == 1000
     assert sum(target.takes_new_flows for target in roster.targets) == 999
     assert ledger.changes_since(news.change, 0.1).targets == []
+
+
+def test_an_older_word_does_not_make_a_cold_server_warm():
+    """A zone that is back counts as cold; what was told before must not end that."""
+    roster = Roster()
+    roster.update("control-a", "life", 1, [heartbeat(sequence=3)], 0.0)
+    target = roster.of_service("order-desk")[0]
+    target.cold_deadline = 12.5
+    roster.update("control-b", "life", 1, [heartbeat(sequence=2)], 10.0)
+    assert target.cold_deadline == 12.5
+
+
+def test_a_leave_is_the_last_word_of_a_life():
+    roster = Roster()
+    left = heartbeat(sequence=5, state=ServingState.GONE)
+    roster.update("control-a", "life", 1, [left], 0.0)
+    roster.update("control-b", "life", 1, [heartbeat(sequence=6)], 0.1)
+    assert not roster.of_service("order-desk")[0].takes_new_flows
+    roster.update("control-b", "life", 2, [heartbeat(born=2000)], 0.2)
+    assert roster.of_service("order-desk")[0].takes_new_flows
--- a/tests/seeded_fakes.py
+++ b/tests/seeded_fakes.py
@@ -7,7 +7,6 @@
 from random import Random
 
 from kingcuppulley.backend_servers.heartbeats import (
-    HeardTarget,
     Heartbeat,
     ServingState,
 )
@@ -34,28 +33,11 @@
     return Heartbeat(**{**values, **fields})  # type: ignore[arg-type]
 
 
-def heard(name: str = "i-1", **fields: object) -> HeardTarget:
-    beat = heartbeat(name, **fields)
-    return HeardTarget(
-        beat.name,
-        beat.identity,
-        beat.service,
-        beat.zone,
-        beat.host,
-        beat.port,
-        beat.state,
-        beat.born,
-        beat.sequence,
-        beat.slots,
-        beat.cold_seconds,
-    )
-
-
 def roster_of(zones: dict[str, int], now: float = 0.0, **fields: object) -> Roster:
     roster = Roster()
     number = count(1)
     servers = [
-        heard(f"i-{next(number)}", zone=zone, host=f"10.0.0.{n}", **fields)
+        heartbeat(f"i-{next(number)}", zone=zone, host=f"10.0.0.{n}", **fields)
         for zone, servers_of_zone in zones.items()
         for n in range(servers_of_zone)
     ]
