--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,121 @@
+"""Run the real processes of a small deployment on loopback, and end just those."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+PEER_PORT = 27720
+PACKET_PORT = 28172
+READY_PORT = 28167
+CONTROL_PORT = 28166
+ZONES = ["zone-a", "zone-b", "zone-c"]
+
+
+class Node:
+    """Own one process, its settings and its data."""
+
+    def __init__(self, folder: Path, role: str, number: int) -> None:
+        self.role = role
+        self.name = f"{role}-{number}"
+        self.zone = ZONES[number % len(ZONES)]
+        self.address = f"127.{30 if role == 'control' else 31}.0.{number + 1}"
+        self.data = folder / self.name / "data"
+        self.is_stopped = False
+        self._file = folder / self.name / "settings.toml"
+        self._log = folder / self.name / "log"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process runs or is paused."""
+        return self._process is not None and self._process.poll() is None
+
+    def write_settings(self, seeds: list[str], is_first: bool) -> None:
+        """Write the settings file."""
+        self.data.mkdir(parents=True, exist_ok=True)
+        listen = f'control = "{self.address}:{CONTROL_PORT}"'
+        if self.role == "entry":
+            listen = (
+                f'packet_addr = "{self.address}:{PACKET_PORT}"\n'
+                f'ready = "{self.address}:{READY_PORT}"'
+            )
+        seeds_text = ", ".join(f'"{seed}:{CONTROL_PORT}"' for seed in seeds)
+        zones = "\n".join(f'{zone} = "region"' for zone in ZONES)
+        self._file.write_text(
+            f'node = "{self.name}"\nip = "{self.address}"\nzone = "{self.zone}"\n'
+            f"internal_ports = [{PEER_PORT}, {PEER_PORT + 15}]\n"
+            f"seeds = [{seeds_text}]\nbootstrap = {str(is_first).lower()}\n"
+            f'heartbeat_ms = 500\ndata_dir = "{self.data}"\n'
+            f"[zones]\n{zones}\n[listen]\n{listen}\n[tolerate]\nmachines = 1\n"
+        )
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {**os.environ, "KINGCUPPULLEY_CONFIG": str(self._file)}
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "kingcuppulley.platform", self.role],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.is_stopped = False
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self._process is not None and self.is_running:
+            self._process.send_signal(number)
+            self.is_stopped = number is signal.SIGSTOP
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+    def wipe(self) -> None:
+        """Empty the disk of a process that has ended."""
+        shutil.rmtree(self.data)
+
+
+class Deployment:
+    """Own all processes of one run."""
+
+    def __init__(self, folder: Path, controls: int, entries: int) -> None:
+        self.controls = [Node(folder, "control", n) for n in range(controls)]
+        self.entries = [Node(folder, "entry", n) for n in range(entries)]
+        self.seeds = [node.address for node in self.controls[:3]]
+
+    @property
+    def nodes(self) -> list[Node]:
+        """Return every node."""
+        return self.controls + self.entries
+
+    def start(self) -> None:
+        """Start everything for the first time."""
+        for node in self.nodes:
+            node.write_settings(self.seeds, is_first=True)
+            node.start()
+
+    def later_settings(self) -> None:
+        """Say from now on that this is not the first start."""
+        for node in self.nodes:
+            node.write_settings(self.seeds, is_first=False)
+
+    def restore(self) -> None:
+        """Bring back whatever is paused or down."""
+        for node in self.nodes:
+            if node.is_stopped:
+                node.signal(signal.SIGCONT)
+            if not node.is_running:
+                node.start()
+
+    def stop(self) -> None:
+        """End every process that was started."""
+        for node in self.nodes:
+            node.kill()
