--- a/tests/soak/outside.py
+++ b/tests/soak/outside.py
@@ -130,8 +130,8 @@
 
     async def stop(self) -> None:
         """Close everything."""
-        for flow in self.flows.values():
-            flow.server = None
+        # Packets that are still under way belong to no caller any more.
+        self.flows.clear()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -169,7 +169,12 @@
                 flow.cookie = cookie
                 self.opened += 1
         elif flow.server is not server:
-            self.broken("a packet of an open flow reached another server")
+            own = flow.server.name if flow.server is not None else "none"
+            self.broken(
+                f"a packet of an open flow reached another server: port {port}, "
+                f"flags {flags}, mark {cookie:#x} of {flow.cookie:#x}, "
+                f"{server.name} in place of {own}"
+            )
 
     def _begin(self, work) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
@@ -238,7 +243,7 @@
         loop.call_later(4.0, self.flows.pop, flow.port, None)
 
     def _send_if_open(self, flow: Flow, flags: int) -> None:
-        if flow.server is not None:
+        if flow.server is not None and self.flows.get(flow.port) is flow:
             self._send(flow, flags)
 
     def _send(self, flow: Flow, flags: int) -> None:
