--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -71,3 +71,10 @@
     world.call = answer
     assert asyncio.run(world.read_once("host"))
     assert len(world.findings) == findings
+
+
+def test_a_process_is_not_started_once_the_run_is_over(tmp_path):
+    deployment = Deployment(tmp_path, controls=1, entries=1)
+    deployment.stop()
+    deployment.restore()
+    assert not any(node.is_running for node in deployment.nodes)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -26,6 +26,7 @@
         self.address = f"127.{30 if role == 'control' else 31}.0.{number + 1}"
         self.data = folder / self.name / "data"
         self.is_stopped = False
+        self._is_over = False
         self._file = folder / self.name / "settings.toml"
         self._log = folder / self.name / "log"
         self._process: subprocess.Popen[bytes] | None = None
@@ -54,8 +55,15 @@
             f"[zones]\n{zones}\n[listen]\n{listen}\n[tolerate]\nmachines = 1\n"
         )
 
+    def end(self) -> None:
+        """End the process for good; a timer that comes late starts it no more."""
+        self._is_over = True
+        self.kill()
+
     def start(self) -> None:
-        """Start the process."""
+        """Start the process, unless the run is over."""
+        if self._is_over:
+            return
         environment = {**os.environ, "KINGCUPPULLEY_CONFIG": str(self._file)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -118,4 +126,4 @@
     def stop(self) -> None:
         """End every process that was started."""
         for node in self.nodes:
-            node.kill()
+            node.end()
