--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -78,7 +78,9 @@
         """Send a signal to the process if it runs."""
         if self._process is not None and self.is_running:
             self._process.send_signal(number)
-            self.is_stopped = number is signal.SIGSTOP
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                # Other signals reach a paused process only once it goes on.
+                self.is_stopped = number is signal.SIGSTOP
 
     def kill(self) -> None:
         """End the process at once."""
