--- a/src/kingcuppulley/operators/routing.py
+++ b/src/kingcuppulley/operators/routing.py
@@ -119,7 +119,3 @@
         """
         allowed = self._allowed.get(key)
         return key not in self._former if allowed is None else service in allowed
-
-    def was_removed(self, key: bytes) -> bool:
-        """Return whether an address had a route that was taken away."""
-        return key in self._former
