Run hosts that start from seeds on asyncio: a restart loads a third

Imports of an entry host took 462 ms of processor time (best of twelve), 300 of them Twisted's own; asyncio, httptools and msgspec take 155. Ruled out: Twisted without twisted.web (its reactor alone is 300 ms), eliot loaded later (a pause of the same length while callers come back). Change: seeded/ owns sockets through asyncio; log lines keep their fields and are encoded by msgspec. Answers of Twisted hosts go through the same http_api. Tests that failed before: test_small_start.py (Twisted and eliot loaded by both roles).

--- a/src/kingcuppulley/backend_servers/announcements.py
+++ b/src/kingcuppulley/backend_servers/announcements.py
@@ -5,14 +5,13 @@
 from collections.abc import Callable
 
 import msgspec
-from twisted.web.http import Request
 
 from kingcuppulley.backend_servers.records import Announcement, TargetRecord
 from kingcuppulley.entry_hosts.host import EntryHost
 from kingcuppulley.internal.counters import Metrics
-from kingcuppulley.internal.http_api import (
-    answer_fault,
-    answer_json,
+from kingcuppulley.internal.http_api import answer_fault, answer_json
+from kingcuppulley.internal.http_server import (
+    ApiRequest,
     bearer_token,
     read_body,
     token_matches,
@@ -31,7 +30,7 @@
         self._clock = clock
         self._metrics = metrics
 
-    def handle(self, request: Request) -> None:
+    def handle(self, request: ApiRequest) -> None:
         """Answer one announcement."""
         try:
             announcement = msgspec.json.decode(read_body(request), type=Announcement)
--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -10,7 +10,6 @@
 from eliot import log_message, write_failure
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
-from twisted.web.http import Request
 
 from kingcuppulley.backend_servers.announcements import PATH, AnnouncementApi
 from kingcuppulley.backend_servers.http_client import BackendServerClient
@@ -28,8 +27,8 @@
 from kingcuppulley.fabric.udp_task import FabricSocket, HostSocket, UdpPacketPort
 from kingcuppulley.internal.clock import ProcessClock
 from kingcuppulley.internal.counters import Metrics
-from kingcuppulley.internal.http_api import answer_json, answer_text
-from kingcuppulley.internal.http_server import ApiFactory
+from kingcuppulley.internal.http_api import answer_json
+from kingcuppulley.internal.http_server import ApiFactory, ApiRequest
 from kingcuppulley.internal.tracing import FileTracer, NoTracer, Tracer
 from kingcuppulley.operators.administration import AdministrationApi
 from kingcuppulley.operators.configuration import Configuration
@@ -231,13 +230,13 @@
             self._retry_deadline = now + RETRY_SECONDS
             self._listeners.retry()
 
-    def _administer(self, request: Request) -> None:
+    def _administer(self, request: ApiRequest) -> None:
         if request.path == PATH and request.method == b"POST":
             self._announcements.handle(request)
         elif request.path == b"/metrics":
             self._update_gauges()
             body = self._metrics.render().encode()
-            answer_text(request, 200, body, "text/plain; version=0.0.4")
+            request.answer(200, body, "text/plain; version=0.0.4")
         else:
             answer_json(request, 200, self._status())
 
--- a/src/kingcuppulley/control/disk_thread.py
+++ b/src/kingcuppulley/control/disk_thread.py
@@ -15,18 +15,22 @@
 
 
 class MainThread(Protocol):
-    """Call a function on the reactor's thread."""
+    """Call a function on the thread that decides."""
 
-    def callFromThread(self, function: Callable[..., None], *args: object) -> None:  # noqa: N802
+    def call_soon_threadsafe(
+        self, callback: Callable[..., None], *args: object
+    ) -> object:
         """Call a function soon."""
 
 
 class DiskThread:
     """Own the disk; one write is under way at a time."""
 
-    def __init__(self, store: VoteStore, reactor: MainThread, metrics: Metrics) -> None:
+    def __init__(
+        self, store: VoteStore, main_thread: MainThread, metrics: Metrics
+    ) -> None:
         self._store = store
-        self._reactor = reactor
+        self._main_thread = main_thread
         self._metrics = metrics
         self._votes: queue.SimpleQueue[Vote] = queue.SimpleQueue()
         self.on_written: Callable[[StorageError | None], None] = _ignore
@@ -49,7 +53,7 @@
             except StorageError as error:
                 failure = error
             seconds = time.monotonic() - begun_at
-            self._reactor.callFromThread(self._tell, failure, seconds)
+            self._main_thread.call_soon_threadsafe(self._tell, failure, seconds)
 
     def _tell(self, failure: StorageError | None, seconds: float) -> None:
         self._metrics.observe_seconds("vote_write", seconds)
--- a/src/kingcuppulley/internal/datagram_link.py
+++ b/src/kingcuppulley/internal/datagram_link.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
-from eliot import write_traceback
-from twisted.internet.protocol import DatagramProtocol
 
 from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.datagram_socket import DatagramSocket
 
 MAXIMUM_DATAGRAM_BYTES = 60_000
 
 
-class DatagramLink(DatagramProtocol):
-    """Own the socket to other processes of a deployment that starts from seeds.
+class DatagramLink:
+    """Exchange typed messages with other processes.
 
     A datagram has no connection that could go silent, or that a restarted peer would
     have to notice; every protocol above copes with loss.
@@ -32,6 +32,11 @@
         self._on_message = on_message
         self._metrics = metrics
         self._addresses: dict[str, tuple[str, int]] = {}
+        self._socket = DatagramSocket(self._receive, MAXIMUM_DATAGRAM_BYTES)
+
+    def open(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> None:
+        """Begin to read, or raise `OSError` if the address is taken."""
+        self._socket.open(loop, host, port)
 
     def send(self, address: str, message: object) -> None:
         """Send a message to `HOST:PORT`, or count it as dropped."""
@@ -43,24 +48,16 @@
         if target is None:
             host, _, port = address.rpartition(":")
             target = self._addresses[address] = (host, int(port))
-        try:
-            self.transport.socket.sendto(data, target)  # type: ignore[union-attr]
-        except OSError:
+        if not self._socket.send(data, target):
             self._metrics.count("peer_messages_dropped")
             return
         self._metrics.count("peer_messages_sent")
         self._metrics.count("peer_bytes_sent", len(data))
 
-    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
-        """Decode a message and pass it on."""
+    def _receive(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
             message = self._decoder.decode(datagram)
         except msgspec.MsgspecError:
             self._metrics.count("peer_messages_malformed")
             return
-        try:
-            self._on_message(f"{addr[0]}:{addr[1]}", message)
-        except Exception:
-            # One message that fails must not make the host deaf to all others.
-            self._metrics.count("peer_messages_failed")
-            write_traceback()
+        self._on_message(f"{sender[0]}:{sender[1]}", message)
--- a/src/kingcuppulley/internal/event_log.py
+++ b/src/kingcuppulley/internal/event_log.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import os
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
-from eliot import add_destinations, log_message
 
 from kingcuppulley.internal.counters import Metrics
 
@@ -30,8 +30,6 @@
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Write one message as a line of JSON."""
-        message.pop("task_uuid", None)
-        message.pop("task_level", None)
         line = msgspec.json.encode(message, enc_hook=str) + b"\n"
         if self._waiting_bytes + len(line) > MAXIMUM_WAITING_BYTES:
             self._metrics.count("log_lines_lost")
@@ -77,12 +75,6 @@
         self._credited_at = clock()
         self._left_out = 0
         self._output = BoundedOutput(descriptor, metrics)
-        add_destinations(self._output)
-
-    @property
-    def output(self) -> BoundedOutput:
-        """Return where lines go."""
-        return self._output
 
     def event(self, kind: str, **fields: object) -> None:
         """Record one change of belief or decision, unless the budget is spent."""
@@ -106,7 +98,9 @@
             # The line says how many went before it unwritten.
             fields["left_out"] = self._left_out
             self._left_out = 0
-        log_message(f"kingcuppulley:{kind}", **fields)
+        fields["timestamp"] = time.time()
+        fields["message_type"] = f"kingcuppulley:{kind}"
+        self._output(fields)
 
     def _has_credit(self) -> bool:
         now = self._clock()
--- /dev/null
+++ b/src/kingcuppulley/internal/light_http.py
@@ -0,0 +1,169 @@
+"""Pass every HTTP request of a port to one function, on asyncio."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+
+import httptools
+
+CONNECTION_BACKLOG = 512
+IDLE_SECONDS = 60.0
+MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+
+
+class LightRequest:
+    """Hold one request until it is answered."""
+
+    __slots__ = ("method", "path", "body", "_connection", "_keeps_alive", "_answer")
+
+    def __init__(
+        self,
+        method: bytes,
+        path: bytes,
+        body: bytes,
+        keeps_alive: bool,
+        connection: _Connection,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.body = body
+        self._connection = connection
+        self._keeps_alive = keeps_alive
+        self._answer: bytes | None = None
+
+    @property
+    def is_gone(self) -> bool:
+        """Return whether nobody waits for the answer any more."""
+        return self._connection.is_lost
+
+    @property
+    def keeps_alive(self) -> bool:
+        """Return whether the connection stays open after the answer."""
+        return self._keeps_alive
+
+    @property
+    def whole_answer(self) -> bytes | None:
+        """Return the answer as it is sent, or None before there is one."""
+        return self._answer
+
+    def answer(self, status: int, body: bytes, content_type: str) -> None:
+        """Send the whole answer once earlier requests of the connection have theirs."""
+        connection = "keep-alive" if self._keeps_alive else "close"
+        head = (
+            f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\n"
+            f"Content-Type: {content_type}\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            f"Connection: {connection}\r\n\r\n"
+        )
+        self._answer = head.encode() + body
+        self._connection.send_answers()
+
+
+HandleRequest = Callable[[LightRequest], None]
+
+
+class _Connection(asyncio.Protocol):
+    """Read the requests of one connection and send the answers in their order."""
+
+    def __init__(self, handle: HandleRequest, loop: asyncio.AbstractEventLoop) -> None:
+        self._handle = handle
+        self._loop = loop
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._unanswered: deque[LightRequest] = deque()
+        self._path = b""
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the peer is gone."""
+        return self._transport is None or self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._restart_idle_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the requests that nobody waits for."""
+        self._transport = None
+        self._unanswered.clear()
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Read what has arrived; bytes that are no request end the connection."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._close()
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._path = b""
+        self._body = []
+        self._body_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request's target."""
+        self._path += url
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > MAXIMUM_BODY_BYTES:
+            self._close()
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Pass a request on that has been read whole."""
+        if self.is_lost:
+            return
+        self._restart_idle_timer()
+        path = self._path.partition(b"?")[0]
+        request = LightRequest(
+            self._parser.get_method(),
+            path,
+            b"".join(self._body),
+            self._parser.should_keep_alive(),
+            self,
+        )
+        self._unanswered.append(request)
+        self._handle(request)
+
+    def send_answers(self) -> None:
+        """Send every answer whose turn has come."""
+        while self._unanswered and self._transport is not None:
+            request = self._unanswered[0]
+            answer = request.whole_answer
+            if answer is None:
+                return
+            self._unanswered.popleft()
+            self._transport.write(answer)
+            if not request.keeps_alive:
+                self._close()
+
+    def _restart_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        self._idle_timer = self._loop.call_later(IDLE_SECONDS, self._close)
+
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+
+async def listen_requests(
+    loop: asyncio.AbstractEventLoop, host: str, port: int, handle: HandleRequest
+) -> asyncio.Server:
+    """Listen for HTTP requests, or raise `OSError` if the address is taken."""
+    return await loop.create_server(
+        lambda: _Connection(handle, loop), host, port, backlog=CONNECTION_BACKLOG
+    )
--- a/src/kingcuppulley/operators/administration.py
+++ b/src/kingcuppulley/operators/administration.py
@@ -7,7 +7,6 @@
 import msgspec
 from eliot import log_message
 from twisted.python.failure import Failure
-from twisted.web.http import Request
 
 from kingcuppulley.control.registers import (
     Change,
@@ -19,10 +18,9 @@
 from kingcuppulley.control.replica import Replica
 from kingcuppulley.errors import KingcuppulleyError
 from kingcuppulley.internal.counters import Metrics
-from kingcuppulley.internal.http_api import (
-    answer_fault,
-    answer_json,
-    answer_text,
+from kingcuppulley.internal.http_api import answer_fault, answer_json
+from kingcuppulley.internal.http_server import (
+    ApiRequest,
     bearer_token,
     read_body,
     token_matches,
@@ -82,7 +80,7 @@
 
     __slots__ = ("request", "is_there")
 
-    def __init__(self, request: Request) -> None:
+    def __init__(self, request: ApiRequest) -> None:
         self.request = request
         self.is_there = True
         request.notifyFinish().addErrback(self._hung_up)
@@ -108,12 +106,12 @@
         self._clock = clock
         self._metrics = metrics
 
-    def handle(self, request: Request) -> None:
+    def handle(self, request: ApiRequest) -> None:
         """Answer one request of an operator."""
         path = request.path.decode("utf-8", "replace").strip("/").split("/")
         if path == ["metrics"]:
             body = self._metrics.render().encode()
-            answer_text(request, 200, body, "text/plain; version=0.0.4")
+            request.answer(200, body, "text/plain; version=0.0.4")
             return
         operator = self._operator_of(request)
         if operator is None:
@@ -131,14 +129,14 @@
                 request, 404, "no such page", "ask for templates, accounts or zones"
             )
 
-    def _operator_of(self, request: Request) -> str | None:
+    def _operator_of(self, request: ApiRequest) -> str | None:
         token = bearer_token(request)
         for operator in self._operators:
             if token_matches(token, operator.token_hash):
                 return operator.name
         return None
 
-    def _status(self, request: Request) -> None:
+    def _status(self, request: ApiRequest) -> None:
         registers = self._replica.publisher.registers
         configuration = render_configuration(registers)
         report = StatusReport(
@@ -150,7 +148,7 @@
         )
         answer_json(request, 200, report)
 
-    def _audit(self, request: Request) -> None:
+    def _audit(self, request: ApiRequest) -> None:
         entries = [
             (change.asked_at, register.key, change)
             for register in self._replica.publisher.registers
@@ -170,12 +168,12 @@
         ]
         answer_json(request, 200, lines)
 
-    def _list(self, request: Request, prefix: str) -> None:
+    def _list(self, request: ApiRequest, prefix: str) -> None:
         registers = self._replica.publisher.registers
         entries = [_entry(r) for r in registers if r.key.startswith(prefix)]
         answer_json(request, 200, entries)
 
-    def _one(self, request: Request, key: str, operator: str) -> None:
+    def _one(self, request: ApiRequest, key: str, operator: str) -> None:
         if request.method == b"GET":
             register = self._replica.publisher.get(key)
             if register is None:
@@ -187,7 +185,7 @@
         else:
             answer_fault(request, 405, "no such method", "use GET, PUT or DELETE")
 
-    def _change(self, request: Request, key: str, operator: str) -> None:
+    def _change(self, request: ApiRequest, key: str, operator: str) -> None:
         identifier = request.getHeader(CHANGE_HEADER) or ""
         version = (request.getHeader(VERSION_HEADER) or "").strip('"')
         if not 0 < len(identifier) <= MAXIMUM_IDENTIFIER_CHARACTERS:
@@ -229,7 +227,7 @@
         answered = register.answered if register is not None else []
         return any(entry.identifier == change.identifier for entry in answered)
 
-    def _is_valid(self, request: Request, change: Change) -> bool:
+    def _is_valid(self, request: ApiRequest, change: Change) -> bool:
         configuration = render_configuration(self._replica.publisher.registers)
         try:
             if change.kind is ChangeKind.WITHDRAW:
@@ -248,7 +246,7 @@
             return False
         return True
 
-    def _dry_run(self, request: Request, change: Change) -> None:
+    def _dry_run(self, request: ApiRequest, change: Change) -> None:
         registers = {r.key: r for r in self._replica.publisher.registers}
         before = render_configuration(registers.values()).services
         document = change.document if change.kind is ChangeKind.PUT else None
--- a/src/kingcuppulley/platform/__main__.py
+++ b/src/kingcuppulley/platform/__main__.py
@@ -2,21 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import sys
 
 # Nothing that is made while a process starts is garbage.
 gc.disable()
 
-from twisted.internet import epollreactor  # noqa: E402
-
-epollreactor.install()
-
-from twisted.internet import reactor  # noqa: E402
-
 from kingcuppulley.errors import SettingsFaults  # noqa: E402
 from kingcuppulley.platform.settings import load_settings, settings_file  # noqa: E402
-from kingcuppulley.seeded.daemon import Daemon, watch_settings  # noqa: E402
+from kingcuppulley.seeded.daemon import Daemon, run  # noqa: E402
 from kingcuppulley.seeded_settings import SeededSettings  # noqa: E402
 
 
@@ -29,31 +24,28 @@
         for fault in faults.exceptions:
             print(fault, file=sys.stderr)
         return 2
-    daemon = _build_entry(settings) if role == "entry" else _build_control(settings)
-    daemon.start()
-    watch_settings(daemon, file, load_settings, reactor)
-    gc.freeze()
-    gc.enable()
-    reactor.run(installSignalHandlers=False)  # type: ignore[call-arg, misc]
+    loop = asyncio.new_event_loop()
+    build = _build_entry if role == "entry" else _build_control
+    run(build(settings, loop), file, load_settings, loop)
     return 0
 
 
-def _build_entry(settings: SeededSettings) -> Daemon:
+def _build_entry(settings: SeededSettings, loop: asyncio.AbstractEventLoop) -> Daemon:
     # Each role imports only what it needs: entry hosts restart often and are small.
     from kingcuppulley.platform.documents import READY_PATH, decode_configuration
     from kingcuppulley.platform.packets import PlatformPackets
     from kingcuppulley.seeded.entry import SeededEntry
 
     return SeededEntry(
-        settings, reactor, PlatformPackets(), decode_configuration, READY_PATH
+        settings, loop, PlatformPackets(), decode_configuration, READY_PATH
     )
 
 
-def _build_control(settings: SeededSettings) -> Daemon:
+def _build_control(settings: SeededSettings, loop: asyncio.AbstractEventLoop) -> Daemon:
     from kingcuppulley.platform.calls import build_calls
     from kingcuppulley.seeded.control import SeededControl
 
-    return SeededControl(settings, reactor, build_calls)
+    return SeededControl(settings, loop, build_calls)
 
 
 if __name__ == "__main__":
--- a/src/kingcuppulley/platform/calls.py
+++ b/src/kingcuppulley/platform/calls.py
@@ -5,7 +5,6 @@
 from urllib.parse import unquote
 
 import msgspec
-from twisted.web.http import Request
 
 from kingcuppulley.control.proposer import OnState
 from kingcuppulley.control.seeded_host import ControlHost
@@ -16,10 +15,8 @@
     JSON_TYPE,
     answer_fault,
     answer_json,
-    answer_text,
-    read_body,
 )
-from kingcuppulley.internal.http_server import HandleRequest
+from kingcuppulley.internal.light_http import HandleRequest, LightRequest
 from kingcuppulley.platform.documents import decode_configuration, decode_heartbeat
 
 _PUT = "/kingcuppulley/config/put"
@@ -43,7 +40,7 @@
         self._zones = frozenset(zones)
         self._metrics = metrics
 
-    def handle(self, request: Request) -> None:
+    def handle(self, request: LightRequest) -> None:
         """Answer one call."""
         path = unquote(request.path.decode("latin-1"))
         if request.method == b"GET" and path == _GET:
@@ -59,8 +56,8 @@
         else:
             answer_fault(request, 404, "no such call", "see the operators' pages")
 
-    def _put(self, request: Request) -> None:
-        document = read_body(request)
+    def _put(self, request: LightRequest) -> None:
+        document = request.body
         try:
             configuration = decode_configuration(document)
         except InvalidConfigurationError as error:
@@ -72,19 +69,19 @@
             configuration.version, document, _answer_when_settled(request)
         )
 
-    def _read(self, request: Request) -> None:
+    def _read(self, request: LightRequest) -> None:
         def answer(state: RoutingState | None) -> None:
-            if _is_gone(request):
+            if request.is_gone:
                 return
             document = self._host.document(state)
             if document is None:
                 answer_fault(request, 503, "not certain", _ASK_AGAIN)
             else:
-                answer_text(request, 200, document, JSON_TYPE)
+                request.answer(200, document, JSON_TYPE)
 
         self._host.read(answer)
 
-    def _target(self, request: Request, rest: str) -> None:
+    def _target(self, request: LightRequest, rest: str) -> None:
         name, _, call = rest.partition("/")
         if call == "leave":
             self._host.leave(name)
@@ -94,7 +91,7 @@
             answer_fault(request, 404, "no such call", "see the pages of targets")
             return
         try:
-            heartbeat = decode_heartbeat(name, read_body(request))
+            heartbeat = decode_heartbeat(name, request.body)
         except InvalidHeartbeatError as error:
             self._metrics.count("heartbeats_refused")
             answer_fault(request, 400, "heartbeat", str(error))
@@ -102,7 +99,7 @@
         self._host.hear(heartbeat)
         answer_json(request, 200, _Done())
 
-    def _zone(self, request: Request, rest: str) -> None:
+    def _zone(self, request: LightRequest, rest: str) -> None:
         zone, _, call = rest.partition("/")
         if call not in ("start", "end"):
             answer_fault(request, 404, "no such call", "call start or end")
@@ -117,9 +114,9 @@
     return ControlCalls(host, zones, metrics).handle
 
 
-def _answer_when_settled(request: Request) -> OnState:
+def _answer_when_settled(request: LightRequest) -> OnState:
     def answer(state: RoutingState | None) -> None:
-        if _is_gone(request):
+        if request.is_gone:
             return
         if state is None:
             answer_fault(request, 503, "no majority answered in time", _ASK_AGAIN)
@@ -127,7 +124,3 @@
             answer_json(request, 200, _Done())
 
     return answer
-
-
-def _is_gone(request: Request) -> bool:
-    return bool(getattr(request, "_disconnected", False)) or request.channel is None
--- a/src/kingcuppulley/seeded/control.py
+++ b/src/kingcuppulley/seeded/control.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import Any
-
-from twisted.internet.task import LoopingCall
 
 from kingcuppulley.control.disk_thread import DiskThread
 from kingcuppulley.control.ensemble_host import first_vote
@@ -20,13 +18,9 @@
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.datagram_link import DatagramLink
 from kingcuppulley.internal.event_log import EventLog
-from kingcuppulley.internal.http_server import HandleRequest
-from kingcuppulley.seeded.daemon import (
-    guarded,
-    listen_datagrams,
-    listen_requests,
-    serve_metrics,
-)
+from kingcuppulley.internal.light_http import HandleRequest, listen_requests
+from kingcuppulley.internal.ticker import Ticker
+from kingcuppulley.seeded.daemon import serve_metrics
 from kingcuppulley.seeded_settings import SeededSettings
 
 TICK_SECONDS = 0.02
@@ -39,14 +33,14 @@
     def __init__(
         self,
         settings: SeededSettings,
-        reactor: Any,
+        loop: asyncio.AbstractEventLoop,
         build_calls: Callable[[ControlHost, list[str], Metrics], HandleRequest],
     ) -> None:
         self._settings = settings
-        self._reactor = reactor
+        self._loop = loop
         self._clock = ProcessClock()
-        self._metrics = Metrics()
-        self.log = EventLog(settings.name, self._metrics, self._clock.now)
+        self.metrics = Metrics()
+        self.log = EventLog(settings.name, self.metrics, self._clock.now)
         process = os.urandom(8).hex()
         store = FileVoteStore(Path(settings.data_folder))
         vote = store.read()
@@ -58,9 +52,9 @@
                 settings.is_first_start,
             )
             _write_first(store, vote, self.log)
-        self._disk = DiskThread(store, reactor, self._metrics)
+        self._disk = DiskThread(store, loop, self.metrics)
         self._disk.on_written = self._written
-        self._link = DatagramLink(ControlMessage, self._receive, self._metrics)
+        self._link = DatagramLink(ControlMessage, self._receive, self.metrics)
         self._host = ControlHost(
             str(settings.peer),
             settings.zone,
@@ -72,25 +66,26 @@
             2 * settings.losses_borne + 1,
             settings.heartbeat_seconds,
             self.log,
-            self._metrics,
+            self.metrics,
             Random(os.urandom(8)),
             self._clock.now,
         )
-        self._handle = build_calls(self._host, settings.zones, self._metrics)
+        self._handle = build_calls(self._host, settings.zones, self.metrics)
         self._is_leaving = False
-        self._ticker = LoopingCall(self._tick)
+        self._ticker = Ticker(loop, TICK_SECONDS, self._tick)
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Open every socket and begin to vote."""
         settings = self._settings
         self._disk.start()
-        listen_datagrams(self._reactor, settings.peer, self._link)
+        self._link.open(self._loop, settings.peer.host, settings.peer.port)
         if settings.control is not None:
-            listen_requests(self._reactor, settings.control, self._handle)
-        serve_metrics(
-            self._reactor, settings.metrics, self._metrics, self._host.update_gauges
+            control = settings.control
+            await listen_requests(self._loop, control.host, control.port, self._handle)
+        await serve_metrics(
+            self._loop, settings.metrics, self.metrics, self._host.update_gauges
         )
-        self._ticker.start(TICK_SECONDS)
+        self._ticker.start()
         self.log.always(
             "started",
             zone=settings.zone,
@@ -110,24 +105,24 @@
         self._is_leaving = True
         self.log.always("leaving")
         self._host.ensemble.leave(self._clock.now())
-        self._reactor.callLater(LEAVE_SECONDS, self._stop)
+        self._loop.call_later(LEAVE_SECONDS, self._stop)
 
     def _stop(self) -> None:
         self.log.always("stopped")
         self._ticker.stop()
-        self._reactor.stop()
+        self._loop.stop()
 
     def _receive(self, address: str, message: object) -> None:
         self._host.receive(address, message)
 
     def _written(self, failure: StorageError | None) -> None:
         if failure is not None:
-            self._metrics.count("votes_not_written")
+            self.metrics.count("votes_not_written")
             self.log.event("vote not written", reason=str(failure))
         self._host.ensemble.written(failure is None, self._clock.now())
 
     def _tick(self) -> None:
-        guarded(self._host.tick, self._clock.now(), self._metrics)
+        self._host.tick(self._clock.now())
         self.log.flush()
 
 
--- a/src/kingcuppulley/seeded/daemon.py
+++ b/src/kingcuppulley/seeded/daemon.py
@@ -1,34 +1,34 @@
-"""Start, reload and stop a process, and open its sockets."""
+"""Run a process until it has left: its loop, settings, signals and metrics."""
 
 from __future__ import annotations
 
+import asyncio
+import gc
 import signal
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Protocol
 
-from eliot import write_traceback
-from twisted.internet.protocol import DatagramProtocol
-from twisted.internet.task import LoopingCall
-from twisted.web.http import Request
-
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.event_log import EventLog
-from kingcuppulley.internal.http_api import answer_text
-from kingcuppulley.internal.http_server import ApiFactory, HandleRequest
+from kingcuppulley.internal.light_http import LightRequest, listen_requests
+from kingcuppulley.internal.ticker import Ticker
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 SETTINGS_CHECK_SECONDS = 1.0
-CONNECTION_BACKLOG = 512
 METRICS_TYPE = "text/plain; version=0.0.4"
 
+LoadSettings = Callable[[Path], SeededSettings]
+
 
 class Daemon(Protocol):
     """Run one process until it has left."""
 
     log: EventLog
+    metrics: Metrics
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Open every socket."""
 
     def reload(self, settings: SeededSettings) -> None:
@@ -38,11 +38,52 @@
         """Stop in good order."""
 
 
-def watch_settings(
+def run(
+    daemon: Daemon, file: Path, load: LoadSettings, loop: asyncio.AbstractEventLoop
+) -> None:
+    """Run a process until it stops the loop."""
+    loop.set_exception_handler(_log_failures(daemon))
+    loop.run_until_complete(daemon.start())
+    _watch_settings(daemon, file, load, loop)
+    # Nothing that was made while the process started is garbage.
+    gc.freeze()
+    gc.enable()
+    loop.run_forever()
+
+
+async def serve_metrics(
+    loop: asyncio.AbstractEventLoop,
+    address: SocketAddress | None,
+    metrics: Metrics,
+    update_gauges: Callable[[dict[str, float]], None],
+) -> None:
+    """Answer every request at the metrics address with all figures."""
+
+    def answer(request: LightRequest) -> None:
+        update_gauges(metrics.gauges)
+        request.answer(200, metrics.render().encode(), METRICS_TYPE)
+
+    if address is not None:
+        await listen_requests(loop, address.host, address.port, answer)
+
+
+def _log_failures(
     daemon: Daemon,
-    file: Path,
-    load: Callable[[Path], SeededSettings],
-    reactor: Any,
+) -> Callable[[asyncio.AbstractEventLoop, dict[str, Any]], None]:
+    def handle(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        daemon.metrics.count("callbacks_failed")
+        error = context.get("exception")
+        daemon.log.event(
+            "callback failed",
+            reason=context.get("message"),
+            traceback="".join(traceback.format_exception(error)) if error else "",
+        )
+
+    return handle
+
+
+def _watch_settings(
+    daemon: Daemon, file: Path, load: LoadSettings, loop: asyncio.AbstractEventLoop
 ) -> None:
     """Stop on SIGTERM, and take settings that change with SIGHUP or without."""
     held = [load(file)]
@@ -59,56 +100,6 @@
             held[0] = settings
             daemon.reload(settings)
 
-    def terminate(*_: object) -> None:
-        reactor.callFromThread(daemon.leave)
-
-    def hang_up(*_: object) -> None:
-        reactor.callFromThread(check)
-
-    signal.signal(signal.SIGTERM, terminate)
-    signal.signal(signal.SIGHUP, hang_up)
-    LoopingCall(check).start(SETTINGS_CHECK_SECONDS, now=False)
-
-
-def guarded(tick: Callable[[float], None], now: float, metrics: Metrics) -> None:
-    """Call a tick so that one that fails does not end all later ones."""
-    try:
-        tick(now)
-    except Exception:
-        metrics.count("ticks_failed")
-        write_traceback()
-
-
-def listen_datagrams(
-    reactor: Any, address: SocketAddress, protocol: DatagramProtocol
-) -> None:
-    """Listen for datagrams."""
-    reactor.listenUDP(
-        address.port, protocol, interface=address.host, maxPacketSize=65_535
-    )
-
-
-def serve_metrics(
-    reactor: Any,
-    address: SocketAddress | None,
-    metrics: Metrics,
-    update_gauges: Callable[[dict[str, float]], None],
-) -> None:
-    """Answer every request at the metrics address with all figures."""
-
-    def answer(request: Request) -> None:
-        update_gauges(metrics.gauges)
-        answer_text(request, 200, metrics.render().encode(), METRICS_TYPE)
-
-    if address is not None:
-        listen_requests(reactor, address, answer)
-
-
-def listen_requests(
-    reactor: Any, address: SocketAddress, handle: HandleRequest
-) -> None:
-    """Listen for HTTP requests."""
-    factory = ApiFactory(handle)
-    reactor.listenTCP(
-        address.port, factory, interface=address.host, backlog=CONNECTION_BACKLOG
-    )
+    loop.add_signal_handler(signal.SIGTERM, daemon.leave)
+    loop.add_signal_handler(signal.SIGHUP, check)
+    Ticker(loop, SETTINGS_CHECK_SECONDS, check).start()
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -2,15 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
-import socket
 from collections.abc import Callable
 from random import Random
-from typing import Any
-
-from twisted.internet.protocol import DatagramProtocol
-from twisted.internet.task import LoopingCall
-from twisted.web.http import Request
 
 from kingcuppulley.control.ensemble_messages import ChosenState
 from kingcuppulley.entry_hosts.leave_plan import LeavePlan
@@ -24,54 +19,51 @@
 from kingcuppulley.internal.clock import ProcessClock
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.datagram_link import DatagramLink
+from kingcuppulley.internal.datagram_socket import DatagramSocket
 from kingcuppulley.internal.event_log import EventLog
-from kingcuppulley.internal.http_api import answer_text
+from kingcuppulley.internal.light_http import LightRequest, listen_requests
+from kingcuppulley.internal.ticker import Ticker
 from kingcuppulley.operators.routing import RoutingConfiguration
-from kingcuppulley.seeded.daemon import (
-    guarded,
-    listen_datagrams,
-    listen_requests,
-    serve_metrics,
-)
+from kingcuppulley.seeded.daemon import serve_metrics
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 TICK_SECONDS = 0.02
 STOP_SLACK_SECONDS = 0.4
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+MAXIMUM_PACKET_BYTES = 2048
 
 
-class PacketSocket(DatagramProtocol):
+class PacketSocket:
     """Own the socket that callers' packets come to."""
 
-    def __init__(self, settings: SocketAddress, metrics: Metrics) -> None:
-        self._settings = settings
+    def __init__(
+        self,
+        address: SocketAddress,
+        on_packet: Callable[[bytes], None],
+        metrics: Metrics,
+    ) -> None:
+        self._address = address
+        self._on_packet = on_packet
         self._counts = metrics.counts
-        self.on_packet: Callable[[bytes], None] = _drop
+        self._socket = DatagramSocket(self._receive, MAXIMUM_PACKET_BYTES)
 
-    def startProtocol(self) -> None:  # noqa: N802
-        """Ask for room for bursts."""
-        self.transport.socket.setsockopt(  # type: ignore[union-attr]
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    def open(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Begin to read, with room for bursts."""
+        self._socket.open(
+            loop, self._address.host, self._address.port, RECEIVE_BUFFER_BYTES
         )
 
-    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:  # noqa: N802
-        """Pass a packet on."""
-        self.on_packet(datagram)
-
-    def send(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
-        """Send a datagram, or count it as dropped."""
-        try:
-            self.transport.socket.sendto(datagram, endpoint)  # type: ignore[union-attr]
-        except OSError:
-            self._counts["packets_not_sent"] += 1
-
     def send_to_target(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
-        """Send a datagram to a backend server."""
-        self.send(datagram, endpoint)
+        """Send a datagram to a backend server, or count it as dropped."""
+        if not self._socket.send(datagram, endpoint):
+            self._counts["packets_not_sent"] += 1
 
     def send_to_caller(self, packet: bytes, address: str) -> None:
         """Send a packet to a caller, at the port that callers' packets come to."""
-        self.send(packet, (address, self._settings.port))
+        self.send_to_target(packet, (address, self._address.port))
+
+    def _receive(self, datagram: bytes, _: tuple[str, int]) -> None:
+        self._on_packet(datagram)
 
 
 class EntryPort:
@@ -91,21 +83,21 @@
     def __init__(
         self,
         settings: SeededSettings,
-        reactor: Any,
+        loop: asyncio.AbstractEventLoop,
         packets: PacketFormat,
         decode: Callable[[bytes], RoutingConfiguration],
         ready_path: bytes,
     ) -> None:
         self._settings = settings
-        self._reactor = reactor
+        self._loop = loop
         self._ready_path = ready_path
         self._clock = ProcessClock()
-        self._metrics = Metrics()
-        self.log = EventLog(settings.name, self._metrics, self._clock.now)
+        self.metrics = Metrics()
+        self.log = EventLog(settings.name, self.metrics, self._clock.now)
         messages = EntryMessage | ControlNews | HostList | ChosenState
-        self._link = DatagramLink(messages, self._receive, self._metrics)
+        self._link = DatagramLink(messages, self._receive, self.metrics)
         assert settings.packets is not None
-        self._packets = PacketSocket(settings.packets, self._metrics)
+        self._packets = PacketSocket(settings.packets, self._packet, self.metrics)
         self._node = EntryNode(
             str(settings.peer),
             settings.zone,
@@ -114,26 +106,25 @@
             decode,
             EntryPort(self._packets, self._link),
             self._link.send,
-            self._metrics,
+            self.metrics,
             self.log,
             Random(os.urandom(8)),
         )
-        self._packets.on_packet = self._packet
         self._leave_plan: LeavePlan | None = None
-        self._ticker = LoopingCall(self._tick)
+        self._ticker = Ticker(loop, TICK_SECONDS, self._tick)
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Open every socket and begin to follow control hosts."""
         settings = self._settings
-        listen_datagrams(self._reactor, settings.peer, self._link)
-        assert settings.packets is not None
-        listen_datagrams(self._reactor, settings.packets, self._packets)
+        self._link.open(self._loop, settings.peer.host, settings.peer.port)
+        self._packets.open(self._loop)
         if settings.ready is not None:
-            listen_requests(self._reactor, settings.ready, self._answer)
-        serve_metrics(
-            self._reactor, settings.metrics, self._metrics, self._update_gauges
+            ready = settings.ready
+            await listen_requests(self._loop, ready.host, ready.port, self._answer)
+        await serve_metrics(
+            self._loop, settings.metrics, self.metrics, self._update_gauges
         )
-        self._ticker.start(TICK_SECONDS)
+        self._ticker.start()
         self.log.always("started", zone=settings.zone, seeds=settings.seeds)
 
     def reload(self, settings: SeededSettings) -> None:
@@ -165,7 +156,7 @@
         self.log.always("stopped", can_be_spared=is_spared)
         self.log.flush()
         self._ticker.stop()
-        self._reactor.stop()
+        self._loop.stop()
 
     def _packet(self, packet: bytes) -> None:
         self._node.router.packet_from_fabric(packet, self._clock.now())
@@ -175,20 +166,16 @@
 
     def _tick(self) -> None:
         now = self._clock.now()
-        guarded(self._node.tick, now, self._metrics)
+        self._node.tick(now)
         if self._leave_plan is not None:
             self._carry_out(self._leave_plan, now)
         self.log.flush()
 
-    def _answer(self, request: Request) -> None:
+    def _answer(self, request: LightRequest) -> None:
         status = 404
         if request.path == self._ready_path:
             status = 200 if self._node.is_ready else 503
-        answer_text(request, status, b"", "text/plain")
+        request.answer(status, b"", "text/plain")
 
     def _update_gauges(self, gauges: dict[str, float]) -> None:
         self._node.update_gauges(gauges, self._clock.now())
-
-
-def _drop(_: bytes) -> None:
-    """Take a packet that comes before anyone routes."""
--- a/tests/cover/test_event_log.py
+++ b/tests/cover/test_event_log.py
@@ -6,7 +6,6 @@
 import time
 
 import msgspec
-from eliot import remove_destination
 
 from kingcuppulley.entry_hosts.flow_log import Beliefs, FlowLog
 from kingcuppulley.internal.counters import Metrics
@@ -65,10 +64,7 @@
     reader, writer = os.pipe()
     metrics = Metrics()
     log = EventLog("host-a", metrics, lambda: 5.0, descriptor=writer)
-    try:
-        write(log)
-    finally:
-        remove_destination(log.output)
+    write(log)
     lines = lines_of(reader)
     os.close(reader)
     os.close(writer)
