Learn all servers after a restart, keep callers while servers are still to be heard, count opened flows

A host that had just started was told by a control host what was news to its former life, took that for all there is, and never asked for the rest: 191 flows refused in 1.4 s with no server within reach. The news say since which change they hold; a list that begins later than what a host knows no longer moves its position. Test that failed first: test_a_host_that_restarts_learns_all_though_news_for_its_former_life_... 2. When all control hosts restart, servers are heard one by one as they call again (0.3 to 1.2 s). Flows were refused by what one or two servers bear. Control hosts now say how long they have yet to hear servers, and until then no flow that waits is given up but for its caller's sake. Tests: test_pattern_control_hosts_restart_... and test_a_service_whose_servers_are_still_to_be_heard_..., both fail with the hope removed. 3. Flows whose callers had gone kept their servers' counts full for 0.2 to 2 s. A flow counts 80 ms until its caller answers the server (one small message to the steward), and a held flow whose next copy does not come is dropped. Tests: test_pattern_callers_are_gone_when_their_flows_are_placed and two more.

--- a/src/kingcuppulley/backend_servers/roster.py
+++ b/src/kingcuppulley/backend_servers/roster.py
@@ -108,15 +108,21 @@
         change: int,
         heard: list[Heartbeat],
         now: float,
+        since: int = 0,
     ) -> list[RosterTarget]:
-        """Take what a control host tells and return the servers that changed."""
+        """Take what a control host tells and return the servers that changed.
+
+        `since` is the change after which its list begins: a host that has just started
+        may be told what is news to its former life, and must still ask for the rest.
+        """
         source = self._sources.get(host)
         if source is None or source.instance != instance:
             if source is not None:
                 self._orphans.append((now + ORPHAN_SECONDS, source.heard))
             source = self._sources[host] = _Source(instance)
         changed = []
-        source.change = max(source.change, change)
+        if since <= source.change:
+            source.change = max(source.change, change)
         for each in heard:
             source.heard[each.name] = each
             target = self._merge(each.name, now)
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -38,6 +38,8 @@
 FOLLOWER_FORGET_SECONDS = 10.0
 COMPRESSION_LEVEL = 1
 LEDGER_TICK_SECONDS = 0.2
+# So many heartbeats after its start a control host has heard all that call it.
+SETTLED_HEARTBEATS = 1.3
 
 
 class ControlPort(Protocol):
@@ -93,6 +95,7 @@
         self._metrics = metrics
         self._clock = clock
         self._heard_at = 0.0
+        self._settled_deadline = clock() + SETTLED_HEARTBEATS * heartbeat_seconds
         self._chosen_at = 0.0
         self._ledger = HeartbeatLedger(heartbeat_seconds)
         self._followers: dict[str, _Follower] = {}
@@ -315,6 +318,7 @@
             self._hosts_digest,
             [self._address, *self._ensemble.live_hosts(now)],
             current.revision if current is not None else -1,
+            round(max(0.0, self._settled_deadline - now) * 1000),
         )
         self._port.send(address, news)
 
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -17,6 +17,7 @@
     EntryHostInfo,
     FetchHosts,
     FlowEnded,
+    FlowOpened,
     FlowRefused,
     FlowTaken,
     FollowControl,
@@ -175,6 +176,8 @@
                 self._router.flow_taken(message)
             case FlowRefused():
                 self._router.flow_refused(address, message)
+            case FlowOpened():
+                self._router.flow_opened(message, now)
             case FlowEnded():
                 self._router.flow_ended(message, now)
             case LoadReport():
@@ -245,11 +248,12 @@
             if host not in self._sources:
                 self._sources[host] = _Source()
         changed = self._roster.update(
-            news.host, news.instance, news.change, news.targets, now
+            news.host, news.instance, news.change, news.targets, now, news.since
         )
         self._changed(changed)
         if news.has_more:
             self._ask(news.host)
+        self._placement.expect_servers_until(now + news.unsettled_ms / 1000)
         source.hosts_digest = news.hosts_digest
         self._fetch_hosts(news, now)
         if news.revision > self._newest_revision:
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -44,6 +44,8 @@
     says that it was too long for one message.  `hosts_digest` names
     the list of entry hosts: control hosts that have heard the same send equal digests,
     so that an entry host fetches each list once.  `revision` is the routing state's.
+    `unsettled_ms` is how long backend servers have yet to announce themselves to
+    a control host that has started lately.
     """
 
     host: str
@@ -55,6 +57,7 @@
     hosts_digest: int
     control_hosts: list[str]
     revision: int
+    unsettled_ms: int
 
 
 class PlaceFlow(msgspec.Struct, frozen=True, array_like=True, tag="pf"):
@@ -80,6 +83,12 @@
     flow: bytes
 
 
+class FlowOpened(msgspec.Struct, frozen=True, array_like=True, tag="fo"):
+    """Say that a flow's caller has heard its server."""
+
+    flow: bytes
+
+
 class FlowEnded(msgspec.Struct, frozen=True, array_like=True, tag="fe"):
     """Say that a flow's caller has ended it, and whether a server had answered."""
 
@@ -100,5 +109,5 @@
     packet: bytes
 
 
-FlowMessage = CarryPacket | PlaceFlow | FlowTaken | FlowRefused | FlowEnded
+FlowMessage = CarryPacket | PlaceFlow | FlowTaken | FlowRefused | FlowOpened | FlowEnded
 EntryMessage = FlowMessage | LoadReport
--- a/src/kingcuppulley/experiments/seeded_capacity.py
+++ b/src/kingcuppulley/experiments/seeded_capacity.py
@@ -25,6 +25,7 @@
     ControlNews,
     EntryHostInfo,
     FlowEnded,
+    FlowOpened,
     FlowTaken,
     FollowControl,
     HostList,
@@ -113,6 +114,7 @@
             1 << 62,
             control_hosts,
             9000,
+            0,
         )
     )
     target = len(msgspec.msgpack.encode(a_target()))
@@ -124,7 +126,10 @@
     opening = size_of(
         PlaceFlow(flow, "order-desk", 0, 1, 120, bytes(OPENING_PACKET_BYTES))
     )
-    per_flow = opening + size_of(FlowTaken(flow)) + size_of(FlowEnded(flow, True))
+    per_flow = opening + sum(
+        size_of(message)
+        for message in (FlowTaken(flow), FlowOpened(flow), FlowEnded(flow, True))
+    )
     poll_seconds = FOLLOW_SECONDS * max(1.0, CONTROL_HOSTS / FOLLOWED_AT_FULL_PACE)
     polls = CONTROL_HOSTS / poll_seconds
     configuration = configuration_bytes(ADDRESSES)
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -11,6 +11,7 @@
     CarryPacket,
     FlowEnded,
     FlowMessage,
+    FlowOpened,
     FlowRefused,
     FlowTaken,
     PlaceFlow,
@@ -32,6 +33,7 @@
 FLOW_NOTE_SECONDS = 4.0
 # Between a server's first packet and the caller that waits for it.
 ANSWER_SECONDS = 0.03
+COPY_SLACK_SECONDS = 0.06
 NOBODY = ""
 
 
@@ -69,6 +71,17 @@
         self.deadline = deadline
 
 
+class _Placer:
+    """Remember who placed a flow, and whether that host knows it as open."""
+
+    __slots__ = ("address", "noted_at", "is_told_open")
+
+    def __init__(self, address: str, now: float) -> None:
+        self.address = address
+        self.noted_at = now
+        self.is_told_open = False
+
+
 class CookieRouter:
     """Route packets of callers on one entry host.
 
@@ -102,7 +115,7 @@
         self._counts = metrics.counts
         self._log = log
         self._awaited: OrderedDict[bytes, _Awaited] = OrderedDict()
-        self._placers: OrderedDict[bytes, tuple[str, float]] = OrderedDict()
+        self._placers: OrderedDict[bytes, _Placer] = OrderedDict()
         self.is_ready = False
 
     def packet_from_fabric(self, packet: bytes, now: float) -> None:
@@ -142,9 +155,13 @@
         A flow that was taken back meanwhile may be open by now, so it is left alone.
         """
         noted = self._placers.get(refused.flow)
-        if noted is not None and noted[0] == host:
+        if noted is not None and noted.address == host:
             self._reset(refused.flow)
 
+    def flow_opened(self, opened: FlowOpened, now: float) -> None:
+        """Take that the caller of a flow which was placed here has heard a server."""
+        self._placement.flow_opened(opened.flow, now)
+
     def flow_ended(self, ended: FlowEnded, now: float) -> None:
         """Take the end of a flow that was placed here."""
         self._placement.end_flow(ended.flow, ended.was_answered, now)
@@ -169,13 +186,13 @@
                 reason="no answer from the steward",
                 steward=awaited.steward,
             )
-            self._placers[awaited.request.flow] = (self._address, now)
+            self._placers[awaited.request.flow] = _Placer(self._address, now)
             # The steward may have placed it after all: it is not refused from here.
             awaited.request.origin = NOBODY
             self._place(awaited.request, now)
         while self._placers:
-            flow, (_, noted_at) = next(iter(self._placers.items()))
-            if now - noted_at < FLOW_NOTE_SECONDS:
+            flow, noted = next(iter(self._placers.items()))
+            if now - noted.noted_at < FLOW_NOTE_SECONDS:
                 break
             del self._placers[flow]
         self._placement.tick(now)
@@ -200,10 +217,10 @@
         request = self._request(asked, self._address, now)
         steward = self._stewards.steward(self._zone, service, now)
         if steward is None or steward == self._address:
-            self._placers[head.flow] = (self._address, now)
+            self._placers[head.flow] = _Placer(self._address, now)
             self._place(request, now)
             return
-        self._placers[head.flow] = (steward, now)
+        self._placers[head.flow] = _Placer(steward, now)
         self._awaited[head.flow] = _Awaited(
             request, steward, now + STEWARD_ANSWER_SECONDS
         )
@@ -222,6 +239,7 @@
             origin,
             began_at + asked.objective_ms / 1000 - ANSWER_SECONDS,
             began_at + self._packets.opening_seconds - ANSWER_SECONDS,
+            began_at + self._packets.opening_due(asked.copy) + COPY_SLACK_SECONDS,
         )
 
     def _place(self, request: FlowRequest, now: float) -> None:
@@ -256,6 +274,8 @@
         if head.ends:
             # Only a server's answer brings a mark back.
             self._end(head.flow, head.cookie != 0, now)
+        elif head.cookie:
+            self._tell_open(head.flow, now)
         target = self._roster.by_cookie(head.cookie)
         if target is None:
             self._pass_on(packet, head, now)
@@ -297,15 +317,25 @@
         datagram = self._packets.to_target(packet, target.identity, head.cookie)
         self._port.send_to_target(datagram, target.endpoint)
 
+    def _tell_open(self, flow: bytes, now: float) -> None:
+        noted = self._placers.get(flow)
+        if noted is None or noted.is_told_open:
+            return
+        noted.is_told_open = True
+        if noted.address == self._address:
+            self._placement.flow_opened(flow, now)
+        else:
+            self._port.send_to_host(noted.address, FlowOpened(flow))
+
     def _end(self, flow: bytes, was_answered: bool, now: float) -> None:
         noted = self._placers.pop(flow, None)
         if noted is None:
             return
-        self._log.went_well(flow, "ended", seconds=round(now - noted[1], 4))
-        if noted[0] == self._address:
+        self._log.went_well(flow, "ended", seconds=round(now - noted.noted_at, 4))
+        if noted.address == self._address:
             self._placement.end_flow(flow, was_answered, now)
         else:
-            self._port.send_to_host(noted[0], FlowEnded(flow, was_answered))
+            self._port.send_to_host(noted.address, FlowEnded(flow, was_answered))
 
     def _refuse(self, request: FlowRequest) -> None:
         if request.origin == self._address:
--- a/src/kingcuppulley/fabric/formats.py
+++ b/src/kingcuppulley/fabric/formats.py
@@ -49,6 +49,12 @@
     def opening_age(self, copy: int) -> float:
         """Return how many seconds before a copy the caller began to open its flow."""
 
+    def opening_due(self, copy: int) -> float:
+        """Return how many seconds after the first packet the next copy is due.
+
+        After the last copy, when the caller gives up.
+        """
+
     @property
     def opening_seconds(self) -> float:
         """Return after how many seconds without an answer a caller gives up."""
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -13,6 +13,8 @@
 from kingcuppulley.fabric.waiting import FlowRequest, WaitingFlows
 
 COUNTED_SECONDS = 2.0
+# A caller that is still there answers a server sooner; one that is gone never does.
+UNOPENED_SECONDS = 0.08
 COUNTED_AT_LEAST_SECONDS = 0.2
 COUNTED_TIMES_USUAL = 4.0
 USUAL_WEIGHT = 0.1
@@ -64,12 +66,13 @@
 class _PlacedFlow:
     """Remember where a flow was placed."""
 
-    __slots__ = ("target", "placed_at", "is_counted", "missed")
+    __slots__ = ("target", "placed_at", "is_counted", "count_deadline", "missed")
 
     def __init__(self, target: RosterTarget, now: float) -> None:
         self.target = target
         self.placed_at = now
         self.is_counted = True
+        self.count_deadline = 0.0
         self.missed: list[int] = []
 
 
@@ -129,7 +132,8 @@
     """Place the new flows of some services on their backend servers.
 
     A flow counts until its caller ends it, or until it has lasted several times as long
-    as the server's flows usually do: its caller has given up without a word.  A copy of
+    as the server's flows usually do: its caller has given up without a word.  One whose
+    caller does not answer the server at all counts for a moment only.  A copy of
     an opening packet says that the server placed first did not answer: the copy goes
     to another one, and the first is avoided for a while.
     """
@@ -150,6 +154,7 @@
         self._expiries: deque[tuple[float, bytes, _PlacedFlow]] = deque()
         self._loads: dict[int, _Load] = {}
         self._waiting: dict[str, WaitingFlows] = {}
+        self._settled_deadline = 0.0
         self._answered_at: dict[str, float] = {}
         self._ticket = count()
         self._zones_out: frozenset[str] = frozenset()
@@ -175,6 +180,15 @@
         """Take the rule for which cold servers this host may use at all."""
         self._may_place_cold = may_place_cold
 
+    def expect_servers_until(self, deadline: float) -> None:
+        """Expect that servers which nobody has heard yet announce themselves.
+
+        Until then there is more hope for flows that wait than lately was fulfilled.
+        """
+        self._settled_deadline = max(self._settled_deadline, deadline)
+        for waiting in self._waiting.values():
+            waiting.settled_deadline = self._settled_deadline
+
     def report(self) -> list[tuple[int, int]]:
         """Return the marks of the servers in use here and their open flows."""
         return [(cookie, load.own) for cookie, load in self._loads.items() if load.own]
@@ -196,6 +210,18 @@
             return self._place_again(placed, request, now)
         return self._place_first(request, now)
 
+    def flow_opened(self, flow: bytes, now: float) -> None:
+        """Count a flow whose caller has heard the server until it is old."""
+        placed = self._flows.get(flow)
+        if placed is None:
+            return
+        load = self._load(placed.target.cookie)
+        if not placed.is_counted:
+            placed.is_counted = True
+            load.own += 1
+        seconds = max(COUNTED_AT_LEAST_SECONDS, load.usual * COUNTED_TIMES_USUAL)
+        self._count_until(placed, now + min(COUNTED_SECONDS, seconds))
+
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
         """Take the end of a flow and give its place to one that waits."""
         placed = self._flows.pop(flow, None)
@@ -212,8 +238,8 @@
         """Forget flows that are old, and refuse what has waited too long."""
         services = set()
         while self._ages and self._ages[0][0] <= now:
-            _, _, placed = heapq.heappop(self._ages)
-            if placed.is_counted:
+            deadline, _, placed = heapq.heappop(self._ages)
+            if placed.is_counted and deadline == placed.count_deadline:
                 self._uncount(placed)
                 services.add(placed.target.service)
         while self._expiries and self._expiries[0][0] <= now:
@@ -241,7 +267,8 @@
 
     def _place_first(self, request: FlowRequest, now: float) -> Decision:
         target, has_room, slots = self._choose(request.service, (), now)
-        if target is None and not slots:
+        is_settled = now >= self._settled_deadline
+        if target is None and not slots and is_settled:
             return Decision(Outcome.REFUSED, None, "no server within reach")
         if target is not None and not slots:
             return self._place(request, target, now)
@@ -290,6 +317,7 @@
         waiting = self._waiting.get(service)
         if waiting is None:
             waiting = self._waiting[service] = WaitingFlows()
+            waiting.settled_deadline = self._settled_deadline
         return waiting
 
     def _choose(
@@ -350,8 +378,10 @@
         elif tier == _NOT_REACHED_TIER:
             load.next_place_at = now + PROBE_SPACING_SECONDS
         placed.placed_at = now
-        seconds = max(COUNTED_AT_LEAST_SECONDS, load.usual * COUNTED_TIMES_USUAL)
-        deadline = now + min(COUNTED_SECONDS, seconds)
+        self._count_until(placed, now + UNOPENED_SECONDS)
+
+    def _count_until(self, placed: _PlacedFlow, deadline: float) -> None:
+        placed.count_deadline = deadline
         heapq.heappush(self._ages, (deadline, next(self._ticket), placed))
 
     def _uncount(self, placed: _PlacedFlow) -> None:
--- a/src/kingcuppulley/fabric/waiting.py
+++ b/src/kingcuppulley/fabric/waiting.py
@@ -30,6 +30,8 @@
         Until when an answer is worth most to the caller.
     answer_deadline : float
         When the caller gives this flow up if no server has answered.
+    silence_deadline : float
+        Until when the caller's next packet arrives, if the caller is still there.
     refusal_deadline : float
         Until when a refusal cannot reach a flow that has opened meanwhile.
     """
@@ -43,6 +45,7 @@
         "origin",
         "objective_deadline",
         "answer_deadline",
+        "silence_deadline",
         "refusal_deadline",
         "held_since",
     )
@@ -57,6 +60,7 @@
         origin: str,
         objective_deadline: float,
         answer_deadline: float,
+        silence_deadline: float,
     ) -> None:
         self.flow = flow
         self.service = service
@@ -66,6 +70,7 @@
         self.origin = origin
         self.objective_deadline = objective_deadline
         self.answer_deadline = answer_deadline
+        self.silence_deadline = silence_deadline
         self.refusal_deadline = 0.0
         self.held_since = 0.0
 
@@ -77,9 +82,15 @@
     Every few turns belong to a late flow all the same, as long as its caller waits:
     after an outage nearly all callers are late, and those that are refused come back at
     once as new ones.
+
+    Attributes
+    ----------
+    settled_deadline : float
+        Until when servers are still to be announced, so that nothing waits in vain.
     """
 
     __slots__ = (
+        "settled_deadline",
         "_by_flow",
         "_in_time",
         "_late",
@@ -91,6 +102,7 @@
     )
 
     def __init__(self) -> None:
+        self.settled_deadline = 0.0
         self._by_flow: dict[bytes, FlowRequest] = {}
         # Entries of flows that have been replaced or taken out stay until they surface.
         self._in_time: list[tuple[int, int, FlowRequest]] = []
@@ -161,6 +173,8 @@
 
     def is_hopeful(self, request: FlowRequest, now: float) -> bool:
         """Return whether a late flow will probably be sent while its caller waits."""
+        if now < self.settled_deadline:
+            return True
         gap = now - self._released_at
         if gap > STALLED_SECONDS:
             return False
@@ -173,7 +187,7 @@
         return [
             request
             for request in self._by_flow.values()
-            if now >= request.answer_deadline
+            if now >= min(request.answer_deadline, request.silence_deadline)
             or (
                 0.0 < request.refusal_deadline - now <= JUDGED_SECONDS
                 and not self.is_hopeful(request, now)
--- a/src/kingcuppulley/platform/__main__.py
+++ b/src/kingcuppulley/platform/__main__.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import gc
 import sys
 
 # Nothing that is made while a process starts is garbage.
 gc.disable()
 
+import asyncio  # noqa: E402
+
 from kingcuppulley.errors import SettingsFaults  # noqa: E402
 from kingcuppulley.platform.settings import load_settings, settings_file  # noqa: E402
 from kingcuppulley.seeded.daemon import Daemon, run  # noqa: E402
--- a/src/kingcuppulley/platform/packets.py
+++ b/src/kingcuppulley/platform/packets.py
@@ -73,6 +73,13 @@
         """Return after how many seconds without an answer a caller gives up."""
         return _OPENING_SECONDS
 
+    def opening_due(self, copy: int) -> float:
+        """Return how many seconds after the first packet the next copy is due."""
+        later = copy + 1
+        if later < len(_COPIES_AFTER_SECONDS):
+            return _COPIES_AFTER_SECONDS[later]
+        return _OPENING_SECONDS
+
     def opening_age(self, copy: int) -> float:
         """Return how many seconds before a copy the caller began to open its flow."""
         return _COPIES_AFTER_SECONDS[min(copy, len(_COPIES_AFTER_SECONDS) - 1)]
--- a/src/kingcuppulley/platform/settings.py
+++ b/src/kingcuppulley/platform/settings.py
@@ -4,7 +4,6 @@
 
 import os
 import tomllib
-from pathlib import Path
 
 import msgspec
 
@@ -46,18 +45,19 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
-def settings_file() -> Path:
+def settings_file() -> str:
     """Return the settings file that the environment names."""
-    return Path(os.environ.get(FILE_VARIABLE, "settings.toml"))
+    return os.environ.get(FILE_VARIABLE, "settings.toml")
 
 
-def load_settings(file: Path) -> SeededSettings:
+def load_settings(file: str) -> SeededSettings:
     """Return the settings, or raise `SettingsFaults` with every fault."""
     try:
-        data = tomllib.loads(file.read_text())
+        with open(file, "rb") as opened:
+            data = tomllib.load(opened)
     except OSError as error:
         raise _fault(file, "file", error.strerror, "name a readable file") from error
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise _fault(file, "file", str(error), "write valid TOML") from error
     faults = _faults(file, data)
     if faults:
@@ -82,27 +82,25 @@
     )
 
 
-def _faults(file: Path, data: dict[str, object]) -> list[SettingsError]:
+def _faults(file: str, data: dict[str, object]) -> list[SettingsError]:
     # The library stops at the first fault, so each field is checked by itself.
     faults = []
     for field in msgspec.structs.fields(_Settings):
         if field.name not in data:
             if field.required:
-                faults.append(
-                    SettingsError(str(file), field.name, None, "give it a value")
-                )
+                faults.append(SettingsError(file, field.name, None, "give it a value"))
             continue
         value = data[field.name]
         try:
             msgspec.convert(value, field.type)
         except msgspec.ValidationError as error:
             remedy = f"{error}; correct it"
-            faults.append(SettingsError(str(file), field.name, value, remedy))
+            faults.append(SettingsError(file, field.name, value, remedy))
     return faults
 
 
-def _fault(file: Path, key: str, value: object, remedy: str) -> SettingsFaults:
-    fault = SettingsError(str(file), key, value, remedy)
+def _fault(file: str, key: str, value: object, remedy: str) -> SettingsFaults:
+    fault = SettingsError(file, key, value, remedy)
     return SettingsFaults(f"{file} has faults", [fault])
 
 
--- a/src/kingcuppulley/seeded/daemon.py
+++ b/src/kingcuppulley/seeded/daemon.py
@@ -7,7 +7,6 @@
 import signal
 import traceback
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any, Protocol
 
 from kingcuppulley.internal.counters import Metrics
@@ -19,7 +18,7 @@
 SETTINGS_CHECK_SECONDS = 1.0
 METRICS_TYPE = "text/plain; version=0.0.4"
 
-LoadSettings = Callable[[Path], SeededSettings]
+LoadSettings = Callable[[str], SeededSettings]
 
 
 class Daemon(Protocol):
@@ -39,7 +38,7 @@
 
 
 def run(
-    daemon: Daemon, file: Path, load: LoadSettings, loop: asyncio.AbstractEventLoop
+    daemon: Daemon, file: str, load: LoadSettings, loop: asyncio.AbstractEventLoop
 ) -> None:
     """Run a process until it stops the loop."""
     loop.set_exception_handler(_log_failures(daemon))
@@ -83,7 +82,7 @@
 
 
 def _watch_settings(
-    daemon: Daemon, file: Path, load: LoadSettings, loop: asyncio.AbstractEventLoop
+    daemon: Daemon, file: str, load: LoadSettings, loop: asyncio.AbstractEventLoop
 ) -> None:
     """Stop on SIGTERM, and take settings that change with SIGHUP or without."""
     held = [load(file)]
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -51,6 +51,9 @@
     def opening_seconds(self) -> float:
         return OPENING_SECONDS
 
+    def opening_due(self, copy: int) -> float:
+        return (*COPIES_AFTER_SECONDS, OPENING_SECONDS)[copy + 1]
+
     def opening_age(self, copy: int) -> float:
         return COPIES_AFTER_SECONDS[copy]
 
--- a/tests/cover/test_following.py
+++ b/tests/cover/test_following.py
@@ -186,6 +186,19 @@
     assert [entry.version for entry in deployment.entries.values()] == [2, 2, 2]
 
 
+def test_a_host_that_restarts_learns_all_though_news_for_its_former_life_come_first():
+    deployment = ready_deployment()
+    deployment.control.hear(heartbeat("i-2"))
+    deployment.run(0.5)
+    restarted = deployment.entries[ENTRIES[0]] = deployment.start_entry(ENTRIES[0])
+    # The control host does not know yet that the host has started again.
+    deployment.control.hear(heartbeat("i-3"))
+    deployment._deliver()
+    deployment.run(1.0)
+    known = {target.name for target in restarted._roster.targets}
+    assert known == {"i-1", "i-2", "i-3"}
+
+
 def test_a_control_host_that_restarts_does_not_empty_its_followers():
     deployment = ready_deployment()
     deployment.control = deployment.start_control()
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -89,6 +89,31 @@
     assert placed > 200
 
 
+def test_pattern_callers_are_gone_when_their_flows_are_placed():
+    """A flow that its caller never answers must not keep another one waiting."""
+    placement = placement_of(roster_of({"zone-a": 2}))
+    placed = 0
+    now = 0.0
+    for number in range(200):
+        now += 0.02
+        placement.tick(now)
+        flow = b"%d" % number
+        outcome = placement.open_flow(flow_request(flow, now), now).outcome
+        placed += outcome is Outcome.PLACED
+    assert placed > 190
+
+
+def test_a_flow_that_opens_late_counts_again():
+    placement = placement_of(roster_of({"zone-a": 1}))
+    placement.open_flow(request(b"1"), 0.0)
+    placement.tick(0.1)
+    assert placement.open_count == 0
+    placement.flow_opened(b"1", 0.11)
+    assert placement.open_count == 1
+    placement.end_flow(b"1", True, 0.12)
+    assert placement.open_count == 0
+
+
 def test_servers_of_the_own_zone_go_first():
     placement = placement_of(roster_of({"zone-a": 2, "zone-b": 2}))
     zones = set()
--- a/tests/seeded_fakes.py
+++ b/tests/seeded_fakes.py
@@ -62,6 +62,7 @@
         "",
         began_at + OBJECTIVE_SECONDS,
         began_at + OPENING_SECONDS,
+        began_at + (*COPIES_AFTER_SECONDS, OPENING_SECONDS)[copy + 1] + 0.06,
     )
 
 
@@ -153,6 +154,7 @@
         if server.is_silent:
             self._copy_later(request)
             return
+        self.placement.flow_opened(request.flow, self.now)
         end = server.serve(self.now, self._work[request.flow])
         if self._is_counted(request):
             self.seconds.append(end - self._started[request.flow])
