Take the connections that wait before a leaving entry host closes its ports

Now ports stay open for the second in which callers may not have heard yet, all waiting connections are taken before a port closes, and the host stays for requests that are still on their way on them (1 s at the most).

--- a/src/kingcuppulley/callers/listeners.py
+++ b/src/kingcuppulley/callers/listeners.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from twisted.internet.error import CannotListenError
+from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel, Request
 from twisted.web.resource import Resource
 from twisted.web.server import Site
@@ -33,15 +34,41 @@
 
     def process(self) -> None:
         """Pass the request to the gateway."""
+        self._site.unheard.discard(self.channel)
         self._site.gateway.handle(self._site.service, self, self._room >= 0)
 
 
+class ServiceChannel(HTTPChannel):
+    """Tell its site from when to when a connection is open."""
+
+    site: Any
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Expect a request."""
+        self.site.unheard.add(self)
+        super().connectionMade()
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
+        """Expect no request any more."""
+        self.site.unheard.discard(self)
+        super().connectionLost(reason)
+
+
 class ServiceSite(Site):
-    """Serve one service on one port."""
+    """Serve one service on one port.
+
+    Attributes
+    ----------
+    unheard : set[ServiceChannel]
+        Open connections on which no whole request has arrived yet.
+    """
+
+    protocol = ServiceChannel  # type: ignore[assignment]
 
     def __init__(self, gateway: Gateway, service: Service) -> None:
         self.gateway = gateway
         self.service = service
+        self.unheard: set[ServiceChannel] = set()
         super().__init__(
             resource=Resource(),
             requestFactory=LimitedRequest,
@@ -89,12 +116,17 @@
         for service in list(self._unopened.values()):
             self._open(service)
 
+    @property
+    def unheard_count(self) -> int:
+        """Return how many open connections have not brought a whole request yet."""
+        return sum(len(site.unheard) for site in self._sites.values())
+
     def stop(self) -> None:
         """Stop taking connections; those that are open go on."""
         for port in self._ports.values():
+            _take_waiting(port)
             port.stopListening()
         self._ports.clear()
-        self._sites.clear()
         self._unopened.clear()
 
     def _open(self, service: Service) -> None:
@@ -111,3 +143,11 @@
         self._unopened.pop(service.identity, None)
         self._sites[service.identity] = site
         self._ports[service.identity] = port
+
+
+def _take_waiting(port: Any) -> None:
+    # The system resets connections that wait when a port closes.
+    taken = -1
+    while port.sessionno != taken:
+        taken = port.sessionno
+        port.doRead()
--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -37,6 +37,8 @@
 TICK_SECONDS = 0.05
 DRAIN_CHECK_SECONDS = 0.05
 HAND_OVER_SECONDS = 1.0
+# For a request to arrive on a connection that was taken last.
+HEAR_SECONDS = 1.0
 RETRY_SECONDS = 1.0
 
 
@@ -138,7 +140,6 @@
             return
         log_message(message_type="kingcuppulley:entry-leaving", host=self._own.name)
         self._gateway.is_leaving = True
-        self._listeners.stop()
         now = self._clock.now()
         self._host.leave(now)
         stay_until = now + HAND_OVER_SECONDS
@@ -147,7 +148,12 @@
 
     def _wait_for_requests(self, stay_until: float, leave_deadline: float) -> None:
         now = self._clock.now()
+        if now >= stay_until:
+            # Until now callers may not have heard that this host leaves.
+            self._listeners.stop()
         is_idle = self._gateway.active_count == 0 and now >= stay_until
+        if now < stay_until + HEAR_SECONDS and self._listeners.unheard_count:
+            is_idle = False
         if is_idle or now >= leave_deadline:
             log_message(message_type="kingcuppulley:entry-left", host=self._own.name)
             self._ticker.stop()
--- a/tests/nocover/test_processes.py
+++ b/tests/nocover/test_processes.py
@@ -173,6 +173,27 @@
     deployment.wait_until_ready([SERVICE])
 
 
+def test_connections_that_wait_when_a_host_is_told_to_leave_get_an_answer(deployment):
+    """A busy host has not taken them yet: a pause makes it as late as can be."""
+    address = (deployment.entry_host("entry-2"), SERVICE.port)
+    # After a calm moment a host takes one connection at a time.
+    ask(deployment, http(), "entry-2")
+    deployment.signal("entry-2", signal.SIGSTOP)
+    connections = [socket.create_connection(address, timeout=20) for _ in range(40)]
+    for connection in connections:
+        connection.sendall(http())
+    deployment.signal("entry-2", signal.SIGTERM)
+    deployment.signal("entry-2", signal.SIGCONT)
+    answers = []
+    for connection in connections:
+        with connection:
+            answers.append(connection.recv(65536)[:9])
+    assert set(answers) == {b"HTTP/1.1 "}
+    assert deployment.end("entry-2") == 0
+    deployment.start_entry("entry-2")
+    deployment.wait_until_ready([SERVICE])
+
+
 def test_a_service_whose_port_is_taken_stops_no_other(deployment):
     """Both listen on the entry host's one address here, so the second cannot open."""
     clash = ServicePlan(
