--- a/src/kingcuppulley/experiments/checkers.py
+++ b/src/kingcuppulley/experiments/checkers.py
@@ -156,7 +156,10 @@
         for change in leaves:
             under_way = request.asked_at <= change.at <= request.ended_at
             if under_way and request.was_cut:
-                faults.append(f"request {request.booking} was cut")
+                faults.append(
+                    f"request {request.booking} to {request.host} was cut after "
+                    f"{request.ended_at - request.asked_at:.2f} s: {request.reason}"
+                )
     return _verdict("a graceful shutdown cuts no request", len(leaves), faults)
 
 
--- a/src/kingcuppulley/experiments/history.py
+++ b/src/kingcuppulley/experiments/history.py
@@ -26,6 +26,8 @@
     outcome: str
     is_whole: bool
     is_own: bool
+    host: str = ""
+    reason: str = ""
 
     @property
     def is_answered(self) -> bool:
--- a/src/kingcuppulley/experiments/load.py
+++ b/src/kingcuppulley/experiments/load.py
@@ -126,7 +126,7 @@
         body: Any = BytesProducer(b"one roll") if kind.is_booking else None
         url = f"http://{host}:{kind.port}/{booking}".encode()
         self._open += 1
-        exchange = _Exchange(self, kind, booking, key)
+        exchange = _Exchange(self, kind, booking, key, host)
         pending = self._agent.request(method, url, headers, body)
         pending.addCallbacks(exchange.head, exchange.lost)
 
@@ -140,12 +140,14 @@
     """Take the answer to one request as its caller."""
 
     def __init__(
-        self, load: RequestLoad, kind: RequestKind, booking: str, key: str
+        self, load: RequestLoad, kind: RequestKind, booking: str, key: str, host: str
     ) -> None:
         self._load = load
         self._kind = kind
         self._booking = booking
         self._key = key
+        self._host = host
+        self._reason = ""
         self._asked_at = time.time()
         self._status = 0
         self._outcome = ""
@@ -158,8 +160,9 @@
         self._outcome = outcomes[0]
         response.deliverBody(self)
 
-    def lost(self, _: Failure) -> None:
+    def lost(self, failure: Failure) -> None:
         """Take the end of a connection without an answer."""
+        self._reason = repr(failure.value)
         self._record(is_whole=False)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -171,6 +174,7 @@
         is_whole = reason is not None and reason.check(ResponseDone) is not None
         if not is_whole:
             self._status = 0
+            self._reason = repr(reason.value) if reason is not None else ""
         self._record(is_whole)
 
     def _record(self, is_whole: bool) -> None:
@@ -188,6 +192,8 @@
                 outcome=self._outcome,
                 is_whole=is_whole,
                 is_own=b"".join(self._pieces) == expected,
+                host=self._host,
+                reason=self._reason,
             )
         )
 
