Forget servers and counts that are long out of use; a module for a server's load

Cause: an entry host kept each server that ever was, and the counts of its flows, for its whole life; it worked out the age of control's news over all control hosts for every logged flow.

--- a/src/kingcuppulley/backend_servers/roster.py
+++ b/src/kingcuppulley/backend_servers/roster.py
@@ -8,6 +8,9 @@
 from kingcuppulley.internal.rendezvous import hash_name
 
 ORPHAN_SECONDS = 4.0
+# Longer than any flow, so that the packets of a server that has gone are told apart.
+FORGET_SECONDS = 120.0
+FORGET_CHECK_SECONDS = 10.0
 
 
 class RosterTarget:
@@ -30,6 +33,7 @@
         "state",
         "born",
         "cold_deadline",
+        "changed_at",
         "identity",
         "cookie",
     )
@@ -43,6 +47,7 @@
         self.state = heard.state
         self.born = heard.born
         self.cold_deadline = 0.0
+        self.changed_at = 0.0
         self.identity = heard.identity
         self.cookie = cookie_of(heard.name, heard.born)
 
@@ -82,6 +87,7 @@
         self._targets: dict[str, RosterTarget] = {}
         self._by_cookie: dict[int, RosterTarget] = {}
         self._by_service: dict[str, list[RosterTarget]] = {}
+        self._forget_deadline = 0.0
 
     @property
     def targets(self) -> Iterable[RosterTarget]:
@@ -139,8 +145,27 @@
                 target = self._merge(name, now)
                 if target is not None:
                     changed.append(target)
+        if now >= self._forget_deadline:
+            self._forget_deadline = now + FORGET_CHECK_SECONDS
+            self._forget(now)
         return changed
 
+    def _forget(self, now: float) -> None:
+        """Drop servers that have been out of use for long."""
+        for name, target in list(self._targets.items()):
+            is_used = target.state in (ServingState.READY, ServingState.DRAINING)
+            if is_used or now - target.changed_at < FORGET_SECONDS:
+                continue
+            self._remove(target)
+            for source in self._sources.values():
+                source.heard.pop(name, None)
+
+    def _remove(self, target: RosterTarget) -> None:
+        del self._targets[target.name]
+        if self._by_cookie.get(target.cookie) is target:
+            del self._by_cookie[target.cookie]
+        self._by_service[target.service].remove(target)
+
     def _merge(self, name: str, now: float) -> RosterTarget | None:
         told = [
             source.heard[name]
@@ -152,11 +177,14 @@
         if not told:
             if target is not None:
                 target.state = ServingState.SILENT
+                target.changed_at = now
             return target
         newest = max(told, key=_finality)
         if target is None or target.born != newest.born:
             return self._add(newest, now)
         has_changed = target.state is not newest.state
+        if has_changed:
+            target.changed_at = now
         target.state = newest.state
         target.slots = newest.slots
         target.endpoint = (newest.host, newest.port)
@@ -168,11 +196,11 @@
     def _add(self, heard: Heartbeat, now: float) -> RosterTarget:
         target = RosterTarget(heard)
         target.cold_deadline = now + heard.cold_seconds
+        target.changed_at = now
         earlier = self._targets.get(heard.name)
-        self._targets[heard.name] = target
         if earlier is not None:
-            self._by_cookie.pop(earlier.cookie, None)
-            self._by_service[earlier.service].remove(earlier)
+            self._remove(earlier)
+        self._targets[heard.name] = target
         # Of two servers with an equal mark the first keeps it.
         self._by_cookie.setdefault(target.cookie, target)
         self._by_service.setdefault(target.service, []).append(target)
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -86,6 +86,7 @@
         self._metrics = metrics
         self._log = log
         self._sources: dict[str, _Source] = {}
+        self._control_heard_at = 0.0
         self._revision = -1
         self._zones_out: frozenset[str] = frozenset()
         self._newest_revision = -1
@@ -139,10 +140,9 @@
 
     def update_gauges(self, gauges: dict[str, float], now: float) -> None:
         """Set the figures that are worked out when they are asked for."""
-        heard = [source.heard_at for source in self._sources.values()]
         gauges["configuration_version"] = self._table.version
         gauges["state_revision"] = self._revision
-        gauges["seconds_since_control"] = now - max(heard, default=now)
+        gauges["seconds_since_control"] = now - self._control_heard_at
         gauges["control_hosts_lost"] = sum(s.is_lost for s in self._sources.values())
         gauges["backend_servers_in_use"] = sum(
             target.takes_new_flows for target in self._roster.targets
@@ -244,6 +244,7 @@
             source.is_lost = False
             self._log.always("control host heard", control=news.host)
         source.heard_at = now
+        self._control_heard_at = now
         for host in news.control_hosts:
             if host not in self._sources:
                 self._sources[host] = _Source()
@@ -338,8 +339,7 @@
         self._placement.use_zones(self._zones_out, self._stewards.unreached_zones(now))
 
     def _beliefs(self) -> Beliefs:
-        heard = [source.heard_at for source in self._sources.values()]
-        age = self._now - max(heard, default=self._now)
+        age = self._now - self._control_heard_at
         return Beliefs(self._table.version, self._revision, age)
 
     def _judge_ready(self) -> None:
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -10,19 +10,13 @@
 from random import Random
 
 from kingcuppulley.backend_servers.roster import Roster, RosterTarget
+from kingcuppulley.fabric.server_load import ServerLoad
 from kingcuppulley.fabric.waiting import FlowRequest, WaitingFlows
 
-COUNTED_SECONDS = 2.0
 # A caller that is still there answers a server sooner; one that is gone never does.
 UNOPENED_SECONDS = 0.08
-COUNTED_AT_LEAST_SECONDS = 0.2
-COUNTED_TIMES_USUAL = 4.0
-USUAL_WEIGHT = 0.1
-USUAL_GROWTH = 3.0
 REMEMBERED_SECONDS = 3.0
 REPORT_SECONDS = 0.5
-SUSPECT_SECONDS = 1.0
-LONGEST_SUSPECT_SECONDS = 8.0
 COLD_SPACING_SECONDS = 0.6
 PROBE_SPACING_SECONDS = 0.25
 ANSWERED_SECONDS = 1.0
@@ -31,6 +25,7 @@
 LEAST_LOAD = "least load"
 OTHER_ZONE_COST = 0.8
 TIE_COST = 0.25
+FORGET_CHECK_SECONDS = 10.0
 
 
 class Outcome(Enum):
@@ -76,51 +71,6 @@
         self.missed: list[int] = []
 
 
-class _Load:
-    """Count the flows of one backend server, and what speaks against it."""
-
-    __slots__ = (
-        "own",
-        "reported",
-        "suspect_seconds",
-        "suspect_deadline",
-        "next_place_at",
-        "usual",
-    )
-
-    def __init__(self) -> None:
-        self.own = 0
-        self.usual = COUNTED_AT_LEAST_SECONDS / COUNTED_TIMES_USUAL
-        self.reported: dict[str, tuple[int, float]] = {}
-        self.suspect_seconds = SUSPECT_SECONDS
-        self.suspect_deadline = 0.0
-        self.next_place_at = 0.0
-
-    def suspect(self, now: float) -> None:
-        """Avoid a server that did not answer, longer each time until it answers."""
-        if now < self.suspect_deadline:
-            return
-        self.suspect_deadline = now + self.suspect_seconds
-        self.suspect_seconds = min(LONGEST_SUSPECT_SECONDS, 2 * self.suspect_seconds)
-
-    def learn(self, seconds: float) -> None:
-        """Take how long an answered flow lasted.
-
-        A caller that lingers tells little of its server.
-        """
-        self.suspect_seconds = SUSPECT_SECONDS
-        seconds = min(seconds, USUAL_GROWTH * self.usual)
-        self.usual += USUAL_WEIGHT * (seconds - self.usual)
-
-    def total(self, now: float) -> int:
-        """Return the flows that are open as far as is known."""
-        total = self.own
-        for flows, deadline in self.reported.values():
-            if now < deadline:
-                total += flows
-        return total
-
-
 # A server of a zone that is silent gets a flow now and then, to see whether it is the
 # zone's entry hosts alone that are lost.
 _NOT_REACHED_TIER = 3
@@ -152,9 +102,10 @@
         self._flows: dict[bytes, _PlacedFlow] = {}
         self._ages: list[tuple[float, int, _PlacedFlow]] = []
         self._expiries: deque[tuple[float, bytes, _PlacedFlow]] = deque()
-        self._loads: dict[int, _Load] = {}
+        self._loads: dict[int, ServerLoad] = {}
         self._waiting: dict[str, WaitingFlows] = {}
         self._settled_deadline = 0.0
+        self._forget_deadline = 0.0
         self._answered_at: dict[str, float] = {}
         self._ticket = count()
         self._zones_out: frozenset[str] = frozenset()
@@ -219,8 +170,7 @@
         if not placed.is_counted:
             placed.is_counted = True
             load.own += 1
-        seconds = max(COUNTED_AT_LEAST_SECONDS, load.usual * COUNTED_TIMES_USUAL)
-        self._count_until(placed, now + min(COUNTED_SECONDS, seconds))
+        self._count_until(placed, load.count_deadline(now))
 
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
         """Take the end of a flow and give its place to one that waits."""
@@ -246,10 +196,19 @@
             _, flow, placed = self._expiries.popleft()
             if self._flows.get(flow) is placed:
                 del self._flows[flow]
+        if now >= self._forget_deadline:
+            self._forget_deadline = now + FORGET_CHECK_SECONDS
+            self._forget_loads()
         for service in services | self._waiting.keys():
             self._release_held(service, now)
             self._give_up(service, now)
 
+    def _forget_loads(self) -> None:
+        """Drop the counts of servers that nobody knows any more."""
+        for cookie, load in list(self._loads.items()):
+            if load.own == 0 and self._roster.by_cookie(cookie) is None:
+                del self._loads[cookie]
+
     def _place_again(
         self, placed: _PlacedFlow, request: FlowRequest, now: float
     ) -> Decision:
@@ -347,7 +306,7 @@
                 best_room = flows < target.slots * (1 + QUEUED_PER_SLOT)
         return best, best_room, slots
 
-    def _tier(self, target: RosterTarget, load: _Load, now: float) -> int:
+    def _tier(self, target: RosterTarget, load: ServerLoad, now: float) -> int:
         if target.zone in self._unreached_zones:
             answered_at = self._answered_at.get(target.zone, float("-inf"))
             if now - answered_at > ANSWERED_SECONDS:
@@ -359,7 +318,7 @@
         return 0
 
     def _may_use(
-        self, target: RosterTarget, tier: int, load: _Load, now: float
+        self, target: RosterTarget, tier: int, load: ServerLoad, now: float
     ) -> bool:
         if tier < _COLD_TIER:
             return True
@@ -389,8 +348,8 @@
             placed.is_counted = False
             self._load(placed.target.cookie).own -= 1
 
-    def _load(self, cookie: int) -> _Load:
+    def _load(self, cookie: int) -> ServerLoad:
         load = self._loads.get(cookie)
         if load is None:
-            load = self._loads[cookie] = _Load()
+            load = self._loads[cookie] = ServerLoad()
         return load
--- a/tests/cover/test_heartbeats.py
+++ b/tests/cover/test_heartbeats.py
@@ -7,8 +7,14 @@
     HeartbeatLedger,
     ServingState,
 )
-from kingcuppulley.backend_servers.roster import ORPHAN_SECONDS, Roster, cookie_of
-from tests.seeded_fakes import heartbeat
+from kingcuppulley.backend_servers.roster import (
+    FORGET_CHECK_SECONDS,
+    FORGET_SECONDS,
+    ORPHAN_SECONDS,
+    Roster,
+    cookie_of,
+)
+from tests.seeded_fakes import SERVICE, heartbeat
 
 HEARTBEAT_SECONDS = 1.0
 
@@ -163,3 +169,23 @@
     assert not roster.of_service("order-desk")[0].takes_new_flows
     roster.update("control-b", "life", 2, [heartbeat(born=2000)], 0.2)
     assert roster.of_service("order-desk")[0].takes_new_flows
+
+
+def test_a_server_that_left_long_ago_is_forgotten():
+    roster = Roster()
+    gone = heartbeat(state=ServingState.GONE)
+    roster.update("control", "life", 1, [heartbeat(sequence=1), gone], 0.0)
+    roster.tick(FORGET_SECONDS - 1.0)
+    assert list(roster.targets)
+    roster.tick(FORGET_SECONDS + FORGET_CHECK_SECONDS)
+    assert not list(roster.targets)
+    assert roster.of_service(SERVICE) == []
+    roster.update("control", "life", 2, [heartbeat(born=2000)], FORGET_SECONDS + 20)
+    assert [target.takes_new_flows for target in roster.targets] == [True]
+
+
+def test_a_server_in_use_is_never_forgotten():
+    roster = Roster()
+    roster.update("control", "life", 1, [heartbeat()], 0.0)
+    roster.tick(10 * FORGET_SECONDS)
+    assert len(list(roster.targets)) == 1
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -6,13 +6,21 @@
 
 import pytest
 
+from kingcuppulley.backend_servers.heartbeats import ServingState
+from kingcuppulley.backend_servers.roster import FORGET_SECONDS
 from kingcuppulley.fabric.placement import (
     COLD_SPACING_SECONDS,
     Outcome,
     Placement,
 )
 from kingcuppulley.fabric.waiting import REFUSABLE_SECONDS, FlowRequest
-from tests.seeded_fakes import OBJECTIVE_SECONDS, LoadRun, flow_request, roster_of
+from tests.seeded_fakes import (
+    OBJECTIVE_SECONDS,
+    LoadRun,
+    flow_request,
+    heartbeat,
+    roster_of,
+)
 
 WORK_SECONDS = 0.03
 TICK_SECONDS = 0.02
@@ -114,6 +122,18 @@
     assert placement.open_count == 0
 
 
+def test_the_counts_of_servers_that_are_forgotten_go_too():
+    roster = roster_of({"zone-a": 1})
+    placement = placement_of(roster)
+    placement.open_flow(request(b"1"), 0.0)
+    placement.end_flow(b"1", True, 0.1)
+    (target,) = roster.targets
+    roster.update("control", "life-1", 2, [heartbeat(state=ServingState.GONE)], 1.0)
+    roster.tick(2 * FORGET_SECONDS)
+    placement.tick(2 * FORGET_SECONDS)
+    assert target.cookie not in placement._loads
+
+
 def test_servers_of_the_own_zone_go_first():
     placement = placement_of(roster_of({"zone-a": 2, "zone-b": 2}))
     zones = set()
