Send no held flow while its next copy may be on its way

Cause, found by reading: since flows wait longer than 180 ms, a steward could place a flow some milliseconds before its caller's copy reaches another steward, which refuses it as full: the caller would get a reset of a flow that opens at that moment. Now a held flow is sent only if a server's answer comes before the next copy is due, so that a copy again proves that nobody has answered; when the copy comes the flow takes its place again. Test that failed first: test_a_flow_is_not_sent_while_its_next_copy_may_be_on_its_way.

--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -33,7 +33,6 @@
 FLOW_NOTE_SECONDS = 4.0
 # Between a server's first packet and the caller that waits for it.
 ANSWER_SECONDS = 0.03
-COPY_SLACK_SECONDS = 0.06
 NOBODY = ""
 
 
@@ -239,7 +238,7 @@
             origin,
             began_at + asked.objective_ms / 1000 - ANSWER_SECONDS,
             began_at + self._packets.opening_seconds - ANSWER_SECONDS,
-            began_at + self._packets.opening_due(asked.copy) + COPY_SLACK_SECONDS,
+            began_at + self._packets.opening_due(asked.copy),
         )
 
     def _place(self, request: FlowRequest, now: float) -> None:
--- a/src/kingcuppulley/fabric/waiting.py
+++ b/src/kingcuppulley/fabric/waiting.py
@@ -8,6 +8,8 @@
 # Less than the time after which callers repeat an opening packet: a later refusal
 # could reach a flow that another host has opened meanwhile.
 REFUSABLE_SECONDS = 0.18
+ANSWER_MARGIN_SECONDS = 0.02
+COPY_SLACK_SECONDS = 0.06
 # Before the end of that time, and long enough for a tick to fall into it.
 JUDGED_SECONDS = 0.05
 # With nothing released for so long no server ends any flow.
@@ -30,8 +32,8 @@
         Until when an answer is worth most to the caller.
     answer_deadline : float
         When the caller gives this flow up if no server has answered.
-    silence_deadline : float
-        Until when the caller's next packet arrives, if the caller is still there.
+    next_copy_at : float
+        When the caller repeats its packet, or gives up after the last copy.
     refusal_deadline : float
         Until when a refusal cannot reach a flow that has opened meanwhile.
     """
@@ -45,7 +47,7 @@
         "origin",
         "objective_deadline",
         "answer_deadline",
-        "silence_deadline",
+        "next_copy_at",
         "refusal_deadline",
         "held_since",
     )
@@ -60,7 +62,7 @@
         origin: str,
         objective_deadline: float,
         answer_deadline: float,
-        silence_deadline: float,
+        next_copy_at: float,
     ) -> None:
         self.flow = flow
         self.service = service
@@ -70,10 +72,23 @@
         self.origin = origin
         self.objective_deadline = objective_deadline
         self.answer_deadline = answer_deadline
-        self.silence_deadline = silence_deadline
+        self.next_copy_at = next_copy_at
         self.refusal_deadline = 0.0
         self.held_since = 0.0
 
+    def may_be_sent(self, now: float) -> bool:
+        """Return whether a server's answer would come before the next copy.
+
+        So a copy proves that nobody has sent the flow to a server that answers, and
+        whichever host takes the copy may refuse it.
+        """
+        return now < self.next_copy_at - ANSWER_MARGIN_SECONDS
+
+    def has_lost_caller(self, now: float) -> bool:
+        """Return whether a copy is overdue, or the caller has given up."""
+        overdue_at = self.next_copy_at + COPY_SLACK_SECONDS
+        return now >= min(self.answer_deadline, overdue_at)
+
 
 class WaitingFlows:
     """Hold the flows of one service until a server has room.
@@ -187,7 +202,7 @@
         return [
             request
             for request in self._by_flow.values()
-            if now >= min(request.answer_deadline, request.silence_deadline)
+            if request.has_lost_caller(now)
             or (
                 0.0 < request.refusal_deadline - now <= JUDGED_SECONDS
                 and not self.is_hopeful(request, now)
@@ -197,7 +212,7 @@
     def _sort_out(self, now: float) -> None:
         while self._in_time:
             request = self._in_time[0][-1]
-            if self._by_flow.get(request.flow) is not request:
+            if not self._is_current(request, now):
                 heapq.heappop(self._in_time)
             elif now + self._usual > request.objective_deadline:
                 heapq.heappop(self._in_time)
@@ -205,11 +220,15 @@
             else:
                 break
         while self._late:
-            request = self._late[0][-1]
-            if self._by_flow.get(request.flow) is request:
+            if self._is_current(self._late[0][-1], now):
                 break
             heapq.heappop(self._late)
 
+    def _is_current(self, request: FlowRequest, now: float) -> bool:
+        # A flow whose next copy is due waits outside the orders until the copy comes.
+        is_held = self._by_flow.get(request.flow) is request
+        return is_held and request.may_be_sent(now)
+
     def _add_late(self, request: FlowRequest) -> None:
         entry = (request.priority, request.answer_deadline, next(self._ticket), request)
         heapq.heappush(self._late, entry)
--- a/tests/cover/test_waiting.py
+++ b/tests/cover/test_waiting.py
@@ -254,6 +254,18 @@
         waiting.release(other, now)
 
 
+def test_a_flow_is_not_sent_while_its_next_copy_may_be_on_its_way():
+    """Another host may take the copy, and refuse it because nobody has answered."""
+    waiting = waiting_of(flow_request(b"one"))
+    due = COPIES_AFTER_SECONDS[1]
+    assert waiting.first(due - 0.03) is not None
+    assert waiting.first(due - 0.01) is None
+    waiting.settled_deadline = 9.0
+    copy = flow_request(b"one", due, copy=1)
+    assert waiting.add(copy, due, in_time_limit=10)
+    assert waiting.first(due) is copy
+
+
 def test_a_flow_whose_next_copy_does_not_come_has_lost_its_caller():
     waiting = waiting_of(flow_request(b"gone"))
     waiting.settled_deadline = 9.0
--- a/tests/seeded_fakes.py
+++ b/tests/seeded_fakes.py
@@ -62,7 +62,7 @@
         "",
         began_at + OBJECTIVE_SECONDS,
         began_at + OPENING_SECONDS,
-        began_at + (*COPIES_AFTER_SECONDS, OPENING_SECONDS)[copy + 1] + 0.06,
+        began_at + (*COPIES_AFTER_SECONDS, OPENING_SECONDS)[copy + 1],
     )
 
 
