--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -12,6 +12,7 @@
     CarryPacket,
     EntryHostInfo,
     FlowEnded,
+    FlowOpened,
     FlowRefused,
     FlowTaken,
     PlaceFlow,
@@ -109,7 +110,7 @@
         infos = [EntryHostInfo(name, "zone-a", False) for name in hosts]
         self.stewards.update(infos, 0.0)
         self.metrics = Metrics()
-        placement = Placement(
+        self.placement = Placement(
             "zone-a", self.roster, Random(1), lambda *held: self.router.released(*held)
         )
         self.router = CookieRouter(
@@ -120,7 +121,7 @@
             self.table,
             self.roster,
             self.stewards,
-            placement,
+            self.placement,
             self.metrics,
             self.sent,
         )
@@ -306,6 +307,37 @@
     assert host.sent.to_hosts[-1] == (OTHER, FlowEnded(b"flow", True))
 
 
+def test_the_steward_is_told_once_that_a_caller_has_heard_its_server():
+    host = steward_host()
+    host.packet("flow open 0")
+    for number in range(3):
+        host.packet(f"flow data {host.mark('i-1')}", 0.01 + number / 100)
+    told = [sent for sent in host.sent.to_hosts if sent == (OTHER, FlowOpened(b"flow"))]
+    assert len(told) == 1
+
+
+def test_a_copy_of_the_opening_packet_does_not_count_as_heard():
+    host = steward_host()
+    host.packet("flow open 0")
+    host.packet("flow open 1", 0.2)
+    assert (OTHER, FlowOpened(b"flow")) not in host.sent.to_hosts
+
+
+def test_a_held_flow_whose_caller_is_gone_is_dropped_without_a_reset():
+    host = Host(OWN)
+    host.router.tick(0.0)
+    host.placement.expect_servers_until(9.0)
+    number = 0
+    while host.metrics.counts["flows_held"] == 0:
+        host.packet(f"flow-{number} open 0")
+        number += 1
+    for server in host.roster.targets:
+        host.placement.take_report("other", [(server.cookie, 50)], 0.2)
+    host.router.tick(0.5)
+    assert host.metrics.counts["flows_expired"] == 1
+    assert host.sent.to_callers == []
+
+
 def test_without_a_server_a_new_flow_is_reset_at_once():
     host = without_servers(Host(OWN))
     host.packet("flow open 0")
