--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from tests.soak.deployment import Deployment
+from tests.soak.deployment import CONTROL_PORT, Deployment
 from tests.soak.outside import ACK, HEAD, RST, SYN, Caller, Flow, Server, World
+from tests.soak.proxy import ControlProxy, Trouble
 from tests.soak.soak import soak
 
 SHORT_SECONDS = 5.0
@@ -78,3 +79,46 @@
     deployment.stop()
     deployment.restore()
     assert not any(node.is_running for node in deployment.nodes)
+
+
+async def call_through(trouble: Trouble) -> tuple[bytes | None, list[bytes]]:
+    """Return what a call through a proxy brings back, and what arrived behind it."""
+    arrived: list[bytes] = []
+
+    async def answer(reader, writer):
+        arrived.append(await reader.read(100))
+        writer.write(b"answer")
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    proxy = ControlProxy(200, "127.0.0.1")
+    proxy.carry_for(server.sockets[0].getsockname()[1])
+    await proxy.start()
+    proxy.trouble = trouble
+    reader, writer = await asyncio.open_connection(proxy.address, CONTROL_PORT)
+    writer.write(b"question")
+    try:
+        async with asyncio.timeout(2.0):
+            return await reader.read(), arrived
+    except TimeoutError:
+        return None, arrived
+    except ConnectionResetError:
+        return b"reset", arrived
+    finally:
+        writer.close()
+        proxy.stop()
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ("trouble", "answer", "arrived"),
+    [
+        (Trouble.NONE, b"answer", [b"question"]),
+        (Trouble.DELAYED, b"answer", [b"question"]),
+        (Trouble.RESET, b"reset", []),
+        (Trouble.ANSWERS_LOST, None, [b"question"]),
+        (Trouble.SILENT, None, []),
+    ],
+)
+def test_the_proxy_spoils_connections_as_it_is_told(trouble, answer, arrived):
+    assert asyncio.run(call_through(trouble)) == (answer, arrived)
--- a/tests/soak/outside.py
+++ b/tests/soak/outside.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from tests.soak.deployment import CONTROL_PORT, PACKET_PORT, Deployment
+from tests.soak.proxy import ControlProxy
 
 HEAD = struct.Struct("!IIIH4sH4sIB3sH")
 SYN, FIN, ACK, RST = 8, 32, 64, 128
@@ -102,6 +103,10 @@
         self.asked = 0
         self.resets = 0
         self.reads = 0
+        self.proxies = {
+            node.address: ControlProxy(number, node.address)
+            for number, node in enumerate(deployment.controls)
+        }
         self._ports = 20_000
         self._transports: list[asyncio.DatagramTransport] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -117,6 +122,8 @@
             lambda: Caller(self), local_addr=(CALLER, PACKET_PORT)
         )
         self._transports.append(caller)
+        for proxy in self.proxies.values():
+            await proxy.start()
         for number in range(servers):
             server = Server(self, number, list(SERVICES)[number % 2])
             transport, _ = await loop.create_datagram_endpoint(
@@ -137,6 +144,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for transport in self._transports:
             transport.close()
+        for proxy in self.proxies.values():
+            proxy.stop()
 
     async def call(self, method: str, path: str, body: object = None, host: str = ""):
         """Call a control host and return the status and body, or 0 if none came."""
@@ -147,7 +156,10 @@
         writer = None
         try:
             async with asyncio.timeout(CALL_SECONDS):
-                reader, writer = await asyncio.open_connection(host, CONTROL_PORT)
+                proxy = self.proxies[host]
+                reader, writer = await asyncio.open_connection(
+                    proxy.address, CONTROL_PORT
+                )
                 writer.write(head.encode() + data)
                 answer = await reader.read()
         except (TimeoutError, OSError):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 
 from tests.soak.deployment import Deployment, Node
 from tests.soak.outside import World
+from tests.soak.proxy import ControlProxy, Trouble
 
 DISK_SECONDS = 8.0
 RECOVER_SECONDS = 20.0
@@ -20,8 +21,9 @@
 class Faults:
     """Draw faults from a seed; their series overlap."""
 
-    def __init__(self, deployment: Deployment, random: Random) -> None:
-        self._deployment = deployment
+    def __init__(self, world: World, random: Random) -> None:
+        self._deployment = world.deployment
+        self._proxies = list(world.proxies.values())
         self._random = random
         self._disk_spared_until = 0.0
         self.told: list[str] = []
@@ -33,7 +35,14 @@
             await asyncio.sleep(self._random.uniform(0.1, 0.8))
             node = self._random.choice(self._deployment.nodes)
             fault = self._random.choice(
-                [self._kill, self._pause, self._terminate, self._hang_up, self._herd]
+                [
+                    self._kill,
+                    self._pause,
+                    self._terminate,
+                    self._hang_up,
+                    self._herd,
+                    self._spoil,
+                ]
                 + [self._wipe] * (loop.time() > self._disk_spared_until)
             )
             self.told.append(f"{fault.__name__} {node.name}")
@@ -59,6 +68,21 @@
         for each in nodes:
             self._kill(each)
 
+    def _spoil(self, _: Node) -> None:
+        proxy = self._random.choice(self._proxies)
+        proxy.trouble = self._random.choice(list(Trouble))
+        seconds = self._random.uniform(0.3, 3.0)
+        asyncio.get_running_loop().call_later(seconds, self._mend, proxy)
+
+    @staticmethod
+    def _mend(proxy: ControlProxy) -> None:
+        proxy.trouble = Trouble.NONE
+
+    def mend_all(self) -> None:
+        """Let all connections pass again."""
+        for proxy in self._proxies:
+            self._mend(proxy)
+
     def _wipe(self, _: Node) -> None:
         # One disk at a time, and all others back, is what three voters bear.
         self._deployment.restore()
@@ -86,7 +110,7 @@
     deployment = Deployment(folder, controls=3, entries=4)
     world = World(deployment, random)
     deployment.start()
-    faults = Faults(deployment, random)
+    faults = Faults(world, random)
     try:
         await world.start(servers=6)
         # A host that read its settings only after they say that this is no first start
@@ -96,6 +120,7 @@
         injecting = asyncio.get_running_loop().create_task(faults.run())
         await asyncio.sleep(seconds)
         injecting.cancel()
+        faults.mend_all()
         deployment.restore()
         await _recovered(deployment, world)
     finally:
