Tell a request handler's fault to the loop; ask control hosts at once after a start

Causes, found by reading: the HTTP parser wraps what a handler raises in its own error, which was taken for bytes that are no request, so that a fault of the process left no line; and the first question to control hosts waited one tick of 20 ms, which the former loop did not. Test that failed first: test_a_handler_that_fails_is_told_to_the_loop_and_ends_the_connection.

--- a/src/kingcuppulley/internal/light_http.py
+++ b/src/kingcuppulley/internal/light_http.py
@@ -101,6 +101,9 @@
         """Read what has arrived; bytes that are no request end the connection."""
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            # A fault of this process: the loop tells it and ends the connection.
+            raise
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._close()
 
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -125,6 +125,8 @@
             self._loop, settings.metrics, self.metrics, self._update_gauges
         )
         self._ticker.start()
+        # The first question to control hosts, which a restart waits for.
+        self._tick()
         self.log.always("started", zone=settings.zone, seeds=settings.seeds)
 
     def reload(self, settings: SeededSettings) -> None:
--- a/tests/cover/test_light_http.py
+++ b/tests/cover/test_light_http.py
@@ -113,3 +113,28 @@
 
     asyncio.run(asyncio.wait_for(run(), LONGEST_SECONDS))
     assert kept[0].is_gone
+
+
+def test_a_handler_that_fails_is_told_to_the_loop_and_ends_the_connection():
+    told: list[dict[str, object]] = []
+
+    def fail(_: LightRequest) -> None:
+        raise ValueError("planted")
+
+    async def run() -> bytes:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: told.append(context))
+        server = await listen_requests(loop, "127.0.0.1", 0, fail)
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET % b"one")
+        try:
+            return await reader.read()
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.close()
+            server.close()
+
+    assert asyncio.run(asyncio.wait_for(run(), LONGEST_SECONDS)) == b""
+    assert len(told) == 1
