--- a/src/kingcuppulley/callers/listeners.py
+++ b/src/kingcuppulley/callers/listeners.py
@@ -95,6 +95,11 @@
         self._sites: dict[str, ServiceSite] = {}
         self._unopened: dict[str, Service] = {}
 
+    @property
+    def unheard_count(self) -> int:
+        """Return how many open connections have not brought a whole request yet."""
+        return sum(len(site.unheard) for site in self._sites.values())
+
     def update(self, services: Iterable[Service]) -> None:
         """Take the services that are in force."""
         wanted = {s.identity: s for s in services if s.tier is Tier.REQUESTS}
@@ -116,11 +121,6 @@
         for service in list(self._unopened.values()):
             self._open(service)
 
-    @property
-    def unheard_count(self) -> int:
-        """Return how many open connections have not brought a whole request yet."""
-        return sum(len(site.unheard) for site in self._sites.values())
-
     def stop(self) -> None:
         """Stop taking connections; those that are open go on."""
         for port in self._ports.values():
--- a/src/kingcuppulley/fabric/formats.py
+++ b/src/kingcuppulley/fabric/formats.py
@@ -43,6 +43,10 @@
 class PacketFormat(Protocol):
     """Read packets from callers and write packets to targets and callers."""
 
+    @property
+    def opening_seconds(self) -> float:
+        """Return after how many seconds without an answer a caller gives up."""
+
     def read(self, packet: bytes) -> FlowPacket:
         """Return what a packet says, or raise `MalformedPacketError`."""
 
@@ -55,10 +59,6 @@
         After the last copy, when the caller gives up.
         """
 
-    @property
-    def opening_seconds(self) -> float:
-        """Return after how many seconds without an answer a caller gives up."""
-
     def to_target(self, packet: bytes, identity: bytes, cookie: int) -> bytes:
         """Return the datagram that carries a packet to one backend server."""
 
--- a/src/kingcuppulley/platform/packets.py
+++ b/src/kingcuppulley/platform/packets.py
@@ -40,6 +40,11 @@
 
     __slots__ = ()
 
+    @property
+    def opening_seconds(self) -> float:
+        """Return after how many seconds without an answer a caller gives up."""
+        return _OPENING_SECONDS
+
     def read(self, packet: bytes) -> FlowPacket:
         """Return what a packet says, or raise `MalformedPacketError`."""
         if len(packet) < _HEAD.size:
@@ -68,11 +73,6 @@
             cookie,
         )
 
-    @property
-    def opening_seconds(self) -> float:
-        """Return after how many seconds without an answer a caller gives up."""
-        return _OPENING_SECONDS
-
     def opening_due(self, copy: int) -> float:
         """Return how many seconds after the first packet the next copy is due."""
         later = copy + 1
