--- a/tests/nocover/test_processes.py
+++ b/tests/nocover/test_processes.py
@@ -51,6 +51,14 @@
         time.sleep(0.1)
 
 
+def accepts(address):
+    try:
+        socket.create_connection(address, timeout=10).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
 def ask(deployment, request, name="entry-1"):
     address = (deployment.entry_host(name), SERVICE.port)
     with socket.create_connection(address, timeout=10) as connection:
@@ -176,6 +184,8 @@
 def test_connections_that_wait_when_a_host_is_told_to_leave_get_an_answer(deployment):
     """A busy host has not taken them yet: a pause makes it as late as can be."""
     address = (deployment.entry_host("entry-2"), SERVICE.port)
+    # The test before restarted this host, which opens its ports some time after that.
+    wait_for(lambda: accepts(address))
     # After a calm moment a host takes one connection at a time.
     ask(deployment, http(), "entry-2")
     deployment.signal("entry-2", signal.SIGSTOP)
