Read through: one revision, one metrics type, no members that nobody calls

Cause: whether a host knows a chosen revision was worked out in five places, the metrics' content type stood in three, and three members and one argument had no use. Ruled out: merging the request and reply messages that look alike, which are different messages on the wire. Behaviour is unchanged.

--- a/src/kingcuppulley/backend_servers/heartbeats.py
+++ b/src/kingcuppulley/backend_servers/heartbeats.py
@@ -109,10 +109,6 @@
         entry.heard_at = now
         return True
 
-    def knows(self, name: str) -> bool:
-        """Return whether a backend server was heard here."""
-        return name in self._entries
-
     def tick(self, now: float) -> bool:
         """Mark servers that fell silent and return whether there is news."""
         before = self._change
--- a/src/kingcuppulley/control/ensemble_host.py
+++ b/src/kingcuppulley/control/ensemble_host.py
@@ -113,16 +113,17 @@
         """Return this host's voter."""
         return self._voter
 
-    @property
-    def proposer(self) -> Proposer:
-        """Return this host's proposer."""
-        return self._proposer
-
     @property
     def current(self) -> RoutingState | None:
         """Return the newest state that is known to be chosen."""
         return self._proposer.current
 
+    @property
+    def revision(self) -> int:
+        """Return the newest revision that is known to be chosen, -1 for none."""
+        current = self.current
+        return current.revision if current is not None else -1
+
     @property
     def is_member(self) -> bool:
         """Return whether this host's disk votes."""
@@ -216,13 +217,12 @@
         self._port.chosen(state)
 
     def _say_hello(self, now: float) -> None:
-        current = self.current
         hello = ControlHello(
             self._host,
             self._voter.vote.store,
             self._zone,
             self._is_leaving,
-            current.revision if current is not None else -1,
+            self.revision,
             self.live_hosts(now),
         )
         for host in self.known_hosts():
@@ -242,10 +242,8 @@
             if host != self._host and host not in self._peers:
                 # Greeted, but not live until it is heard itself.
                 self._peers[host] = _Peer(now - LIVE_SECONDS)
-        current = self.current
-        if hello.revision > (current.revision if current is not None else -1):
-            own = current.revision if current is not None else -1
-            self._port.send(hello.host, FetchState(own))
+        if hello.revision > self.revision:
+            self._port.send(hello.host, FetchState(self.revision))
         if is_new:
             self._say_hello(now)
 
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -154,7 +154,7 @@
         """Set the figures that are worked out when they are asked for."""
         now = self._clock()
         current = self._ensemble.current
-        gauges["state_revision"] = current.revision if current is not None else -1
+        gauges["state_revision"] = self._ensemble.revision
         gauges["configuration_version"] = (
             current.configuration_version if current is not None else 0
         )
@@ -306,7 +306,6 @@
 
     def _tell(self, address: str, follower: _Follower, now: float) -> None:
         since = follower.change if follower.instance == self._instance else 0
-        current = self._ensemble.current
         changes = self._ledger.changes_since(since, now)
         news = ControlNews(
             self._address,
@@ -317,7 +316,7 @@
             changes.targets,
             self._hosts_digest,
             [self._address, *self._ensemble.live_hosts(now)],
-            current.revision if current is not None else -1,
+            self._ensemble.revision,
             round(max(0.0, self._settled_deadline - now) * 1000),
         )
         self._port.send(address, news)
--- a/src/kingcuppulley/control/voter.py
+++ b/src/kingcuppulley/control/voter.py
@@ -54,11 +54,6 @@
         """Return the vote that is durable."""
         return self._durable
 
-    @property
-    def is_writing(self) -> bool:
-        """Return whether a write is under way."""
-        return self._vote_under_way is not None
-
     def receive(self, host: str, request: EnsembleRequest) -> None:
         """Answer a question at once, and vote when the disk is free."""
         if isinstance(request, AskState):
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -155,10 +155,10 @@
         """Return whether the zone's other hosts can carry its traffic."""
         return self._stewards.can_spare_own(now)
 
-    def announce_leaving(self, now: float) -> None:
+    def announce_leaving(self) -> None:
         """Tell the others that this host stops soon; it still serves."""
         self._is_leaving = True
-        self._follow(now)
+        self._follow()
 
     def leave(self) -> None:
         """Leave the rotation."""
@@ -201,14 +201,14 @@
             # The messages of a host grow with control hosts only up to this many.
             stretch = max(1.0, len(self._sources) / FOLLOWED_AT_FULL_PACE)
             self._follow_deadline = now + FOLLOW_SECONDS * stretch
-            self._follow(now)
+            self._follow()
             self._note_lost(now)
             self._changed(self._roster.tick(now))
         if now >= self._report_deadline:
             self._report_deadline = now + REPORT_SECONDS
             self._report(now)
 
-    def _follow(self, now: float) -> None:
+    def _follow(self) -> None:
         for host in {*self._seeds, *self._sources}:
             self._ask(host)
 
--- a/src/kingcuppulley/seeded/daemon.py
+++ b/src/kingcuppulley/seeded/daemon.py
@@ -9,14 +9,13 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.counters import METRICS_TYPE, Metrics
 from kingcuppulley.internal.event_log import EventLog
 from kingcuppulley.internal.light_http import LightRequest, listen_requests
 from kingcuppulley.internal.ticker import Ticker
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 SETTINGS_CHECK_SECONDS = 1.0
-METRICS_TYPE = "text/plain; version=0.0.4"
 
 LoadSettings = Callable[[str], SeededSettings]
 
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -143,7 +143,7 @@
         stop_deadline = now + self._settings.grace_seconds - STOP_SLACK_SECONDS
         self._leave_plan = LeavePlan(now, stop_deadline, is_spared)
         self.log.always("told to stop", can_be_spared=is_spared)
-        self._node.announce_leaving(now)
+        self._node.announce_leaving()
 
     def _carry_out(self, plan: LeavePlan, now: float) -> None:
         is_spared = self._node.can_be_spared(now)
