Keep forwarding open flows of services that only earlier configurations allowed, after a restart

Cause: an entry host knew from its own memory which services earlier configurations allowed for a route. One that restarted after a change of route dropped the packets of flows that were open on the old service ('route removed'); their callers waited until their deadlines, returned with new flows, and overloaded the few servers of the new service. Tests: flows of an earlier service survive a restart of every entry host (fails without the change); a route that was removed and added again gets none.

--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -17,6 +17,7 @@
 from kingcuppulley.control.proposer import StateCallback
 from kingcuppulley.control.relayed_sources import RelayedSources
 from kingcuppulley.control.state import (
+    EarlierServices,
     RoutingState,
     Vote,
     put_configuration,
@@ -40,6 +41,10 @@
     SubscribeToRelay,
 )
 from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.operators.routing import (
+    RoutingConfiguration,
+    find_earlier_services,
+)
 
 OPERATION_TIMEOUT_SECONDS = 0.9
 # Time without a subscribe message after which an entry host no longer counts as ready.
@@ -81,6 +86,7 @@
         seeds: list[str],
         desired_voters: int,
         heartbeat_seconds: float,
+        decode: Callable[[bytes], RoutingConfiguration],
         log: ControlLog,
         metrics: Metrics,
         generator: Random,
@@ -89,6 +95,7 @@
         self._address = address
         self._instance = instance
         self._transport = transport
+        self._decode = decode
         self._log = log
         self._metrics = metrics
         self._clock = clock
@@ -133,9 +140,23 @@
             )
             on_result(current)
             return
+        configuration = self._decode(document)
+
+        def find_earlier(state: RoutingState) -> tuple[EarlierServices, ...]:
+            previous_document = self.document(state)
+            if previous_document is None:
+                return ()
+            previous = self._decode(previous_document)
+            return find_earlier_services(
+                previous, state.earlier_services, configuration
+            )
+
         compressed = zlib.compress(document, COMPRESSION_LEVEL)
         self._propose_change(
-            put_configuration(version, compressed), on_result, "configuration", version
+            put_configuration(version, compressed, find_earlier),
+            on_result,
+            "configuration",
+            version,
         )
 
     def set_zone(self, zone: str, in_service: bool, on_result: StateCallback) -> None:
--- a/src/kingcuppulley/control/state.py
+++ b/src/kingcuppulley/control/state.py
@@ -46,11 +46,24 @@
         )
 
 
+class EarlierServices(msgspec.Struct, frozen=True, array_like=True):
+    """Name the services that only earlier configurations allowed for a route.
+
+    `key` is the address and port of the route.  Flows that were opened then stay where
+    they are, and a host that restarts must still forward their packets.
+    """
+
+    key: bytes
+    services: tuple[str, ...]
+
+
 class RoutingState(msgspec.Struct, frozen=True, array_like=True):
     """Hold all accepted operator changes, and the voters.
 
     `revision` grows by one with each change.  `configuration` is the operator's
     document, compressed with zlib.  `zones_out` are the zones out of service.
+    `earlier_services` has an entry for each route that earlier configurations sent to
+    other services.
     """
 
     revision: int = 0
@@ -58,6 +71,7 @@
     configuration_version: int = 0
     configuration: bytes = b""
     zones_out: tuple[str, ...] = ()
+    earlier_services: tuple[EarlierServices, ...] = ()
 
 
 class ChosenVoters(msgspec.Struct, frozen=True, array_like=True):
@@ -83,14 +97,25 @@
 StateChange = Callable[[RoutingState], RoutingState]
 
 
-def put_configuration(version: int, document: bytes) -> StateChange:
-    """Return the change that activates a configuration if its version is higher."""
+def put_configuration(
+    version: int,
+    document: bytes,
+    find_earlier_services: Callable[[RoutingState], tuple[EarlierServices, ...]],
+) -> StateChange:
+    """Return the change that activates a configuration if its version is higher.
+
+    `find_earlier_services` returns those of the routes in `document`, from the state
+    before the change.
+    """
 
     def change(state: RoutingState) -> RoutingState:
         if version <= state.configuration_version:
             return state
         return msgspec.structs.replace(
-            state, configuration_version=version, configuration=document
+            state,
+            configuration_version=version,
+            configuration=document,
+            earlier_services=find_earlier_services(state),
         )
 
     return change
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -363,7 +363,8 @@
             and state.configuration_version > self._routing_table.version
         ):
             self._routing_table.update(
-                self._decode(zlib.decompress(state.configuration))
+                self._decode(zlib.decompress(state.configuration)),
+                state.earlier_services,
             )
         zones_out = frozenset(state.zones_out)
         self._treat_as_cold(self._zones_out - zones_out, now)
--- a/src/kingcuppulley/operators/routing.py
+++ b/src/kingcuppulley/operators/routing.py
@@ -4,8 +4,12 @@
 
 import msgspec
 
+from kingcuppulley.control.state import EarlierServices
 from kingcuppulley.internal.rendezvous import hash_bytes
 
+# Earlier services that are kept for one route, so that the state stays small.
+MAXIMUM_EARLIER_SERVICES = 8
+
 
 class ServiceShare(msgspec.Struct, frozen=True):
     """Give a service a weighted share of a route's new flows."""
@@ -34,6 +38,11 @@
     objective_seconds: float
     priority: int
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services that receive the route's new flows."""
+        return frozenset(share.service for share in self.shares)
+
     def service_of(self, flow: bytes) -> str:
         """Return the service of a flow, which is the same on every host."""
         if len(self.shares) == 1:
@@ -72,6 +81,30 @@
     services: tuple[RoutedService, ...]
 
 
+def find_earlier_services(
+    previous: RoutingConfiguration,
+    earlier: tuple[EarlierServices, ...],
+    current: RoutingConfiguration,
+) -> tuple[EarlierServices, ...]:
+    """Return the services that only earlier configurations allow, for each route.
+
+    `earlier` holds those of the routes of `previous`.  A route that is removed loses
+    its earlier services: its flows are abandoned.
+    """
+    allowed_before = {route.key: route.services for route in previous.routes}
+    for entry in earlier:
+        allowed_before[entry.key] = allowed_before.get(
+            entry.key, frozenset()
+        ) | frozenset(entry.services)
+    result = []
+    for route in current.routes:
+        services = allowed_before.get(route.key, frozenset()) - route.services
+        if services:
+            kept = tuple(sorted(services)[:MAXIMUM_EARLIER_SERVICES])
+            result.append(EarlierServices(route.key, kept))
+    return tuple(result)
+
+
 class RoutingTable:
     """Look up routes by the address and port of a packet.
 
@@ -99,10 +132,15 @@
         """Return the active version, or 0 if there is none."""
         return self._version
 
-    def update(self, configuration: RoutingConfiguration) -> bool:
+    def update(
+        self,
+        configuration: RoutingConfiguration,
+        earlier: tuple[EarlierServices, ...] = (),
+    ) -> bool:
         """Activate a configuration that is newer than the active one.
 
-        Return whether it was activated.
+        `earlier` names services that only earlier configurations allowed, which this
+        process may not have received.  Return whether it was activated.
         """
         if configuration.version <= self._version:
             return False
@@ -110,9 +148,11 @@
         routes = {route.key: route for route in configuration.routes}
         allowed_services = {}
         for key, route in routes.items():
-            services = frozenset(share.service for share in route.shares)
             earlier_services = self._allowed_services.get(key, frozenset())
-            allowed_services[key] = services | earlier_services
+            allowed_services[key] = route.services | earlier_services
+        for entry in earlier:
+            if entry.key in allowed_services:
+                allowed_services[entry.key] |= frozenset(entry.services)
         self._removed_keys = (self._removed_keys | self._routes.keys()) - routes.keys()
         self._routes = routes
         self._allowed_services = allowed_services
--- a/src/kingcuppulley/platform/__main__.py
+++ b/src/kingcuppulley/platform/__main__.py
@@ -49,9 +49,12 @@
 
 def _build_control(settings: SeededSettings, loop: asyncio.AbstractEventLoop) -> Daemon:
     from kingcuppulley.platform.calls import build_control_handler
+    from kingcuppulley.platform.documents import decode_configuration
     from kingcuppulley.seeded.control import SeededControlDaemon
 
-    return SeededControlDaemon(settings, loop, build_control_handler)
+    return SeededControlDaemon(
+        settings, loop, decode_configuration, build_control_handler
+    )
 
 
 if __name__ == "__main__":
--- a/src/kingcuppulley/seeded/control.py
+++ b/src/kingcuppulley/seeded/control.py
@@ -20,6 +20,7 @@
 from kingcuppulley.internal.datagram_link import DatagramLink
 from kingcuppulley.internal.event_log import EventLog
 from kingcuppulley.internal.ticker import Ticker
+from kingcuppulley.operators.routing import RoutingConfiguration
 from kingcuppulley.seeded.daemon import serve_metrics
 from kingcuppulley.seeded_settings import SeededSettings
 
@@ -39,6 +40,7 @@
         self,
         settings: SeededSettings,
         loop: asyncio.AbstractEventLoop,
+        decode_configuration: Callable[[bytes], RoutingConfiguration],
         build_control_handler: Callable[
             [SeededControlHost, list[str], Metrics], HttpRequestHandler
         ],
@@ -72,6 +74,7 @@
             settings.seeds,
             2 * settings.tolerated_disk_losses + 1,
             settings.heartbeat_seconds,
+            decode_configuration,
             self.log,
             self.metrics,
             Random(os.urandom(8)),
--- a/tests/control_traffic.py
+++ b/tests/control_traffic.py
@@ -13,7 +13,8 @@
 from kingcuppulley.control.seeded_host import SeededControlHost
 from kingcuppulley.entry_hosts.seeded_host import SeededEntryHost
 from kingcuppulley.internal.counters import Metrics
-from tests.cover.test_cookie_router import Recorder, WordPacketFormat, configuration
+from tests.cover.test_control_subscription import DiscardingLog, decode
+from tests.cover.test_cookie_router import Recorder, WordPacketFormat
 from tests.ensemble_cluster import FakeDisk
 from tests.seeded_fakes import heartbeat
 
@@ -23,14 +24,6 @@
 IP_AND_UDP_HEADER_BYTES = 28
 
 
-class DiscardingLog:
-    """Discard every event."""
-
-    def event(self, kind: str, **fields: object) -> None: ...
-
-    def event_unthrottled(self, kind: str, **fields: object) -> None: ...
-
-
 class CountingTransport:
     """Send one host's messages over the fake network."""
 
@@ -93,6 +86,7 @@
             self.control_names[:3],
             3,
             HEARTBEAT_SECONDS,
+            decode,
             DiscardingLog(),
             Metrics(),
             Random(name),
@@ -105,7 +99,7 @@
             self.zone_of[name],
             self.control_names[:3],
             WordPacketFormat(),
-            lambda document: configuration(int(document.split()[0]), "order-desk"),
+            decode,
             Recorder(),
             CountingTransport(self, name).send,
             Metrics(),
--- a/tests/cover/test_control_subscription.py
+++ b/tests/cover/test_control_subscription.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from kingcuppulley.backend_servers.heartbeats import ServingState
+from kingcuppulley.backend_servers.target_registry import derive_cookie
 from kingcuppulley.control.ensemble_host import initial_vote
 from kingcuppulley.control.seeded_host import SeededControlHost
 from kingcuppulley.entry_hosts.seeded_host import SeededEntryHost
@@ -77,6 +78,7 @@
             [CONTROL_HOST],
             1,
             1.0,
+            decode,
             DiscardingLog(),
             Metrics(),
             Random(1),
@@ -261,6 +263,40 @@
     assert sum(datagram[7] == 2 for datagram, _ in datagrams) <= 1
 
 
+def test_flows_of_an_earlier_service_survive_a_restart_of_every_entry_host():
+    """A route is sent to another service, and its open flows stay where they are."""
+    deployment = ready_deployment()
+    deployment.control.receive_heartbeat(
+        heartbeat("i-2", service="drawing-store", host="10.0.0.2")
+    )
+    deployment.configure(2, "drawing-store")
+    deployment.configure(3, "drawing-store")
+    for name in ENTRY_HOSTS:
+        deployment.entries[name] = deployment.start_entry(name)
+    deployment.run(1.0)
+    cookie = derive_cookie("i-1", 1000)
+    for name in ENTRY_HOSTS:
+        deployment.recorders[name].to_targets.clear()
+        deployment.entries[name].router.packet_from_fabric(
+            b"flow data %d" % cookie, deployment.now
+        )
+        assert len(deployment.recorders[name].to_targets) == 1
+
+
+def test_flows_of_a_route_that_was_removed_and_added_again_are_not_forwarded():
+    deployment = ready_deployment()
+    deployment.configure(2, "")
+    deployment.configure(3, "drawing-store")
+    deployment.entries["a1"] = deployment.start_entry("a1")
+    deployment.run(1.0)
+    deployment.recorders["a1"].to_targets.clear()
+    cookie = derive_cookie("i-1", 1000)
+    deployment.entries["a1"].router.packet_from_fabric(
+        b"flow data %d" % cookie, deployment.now
+    )
+    assert not deployment.recorders["a1"].to_targets
+
+
 def test_pattern_steady_state_costs_two_small_messages_per_subscription():
     """Without changes the messages of a host and a control host must not grow."""
     deployment = ready_deployment()
--- a/tests/ensemble_cluster.py
+++ b/tests/ensemble_cluster.py
@@ -140,7 +140,7 @@
         assert chosen == state, f"{host} has another state of revision {state.revision}"
 
     def put(self, host: str, version: int, document: bytes = b"document") -> Operation:
-        return self.change(host, put_configuration(version, document))
+        return self.change(host, put_configuration(version, document, lambda _: ()))
 
     def set_zone(self, host: str, zone: str, in_service: bool) -> Operation:
         return self.change(host, set_zone(zone, in_service))
