Choose a server for a flow without comparing all servers of its service

Cause: for each new flow a coordinator walked all servers of the service in all zones, and for each load report of another host all loads; at 2,000 servers that is more than the work of all its messages. Change: ServerIndex groups servers by cost and draws the lowest of their tie-break costs directly; it is built again at most every 0.05 s if the registry changed, else every 0.25 s, and a server that may not be used any more is found when it is picked. Servers that are cold, suspected or unreachable are compared one by one as before, only when no other server is left. Reports of other hosts are added to a server's count when they arrive, by difference.

--- a/src/kingcuppulley/backend_servers/target_registry.py
+++ b/src/kingcuppulley/backend_servers/target_registry.py
@@ -103,6 +103,12 @@
         self._by_cookie: dict[int, RegisteredTarget] = {}
         self._by_service: dict[str, list[RegisteredTarget]] = {}
         self._eviction_deadline = 0.0
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Return a number that grows when a server is added or changes its state."""
+        return self._version
 
     @property
     def targets(self) -> Iterable[RegisteredTarget]:
@@ -206,6 +212,7 @@
         target = self._targets.get(name)
         if not reports:
             if target is not None:
+                self._version += 1
                 target.state = ServingState.UNRESPONSIVE
                 target.changed_at = now
             return target
@@ -214,6 +221,7 @@
             return self._add(newest, now)
         has_changed = target.state is not newest.state
         if has_changed:
+            self._version += 1
             target.changed_at = now
         target.state = newest.state
         target.slots = newest.slots
@@ -226,6 +234,7 @@
         return target if has_changed else None
 
     def _add(self, heartbeat: Heartbeat, now: float) -> RegisteredTarget:
+        self._version += 1
         target = RegisteredTarget(heartbeat)
         target.cold_deadline = now + heartbeat.cold_remaining_seconds
         target.changed_at = now
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -14,6 +14,11 @@
     TargetRegistry,
 )
 from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
+from kingcuppulley.fabric.server_index import (
+    MAXIMUM_TIE_BREAK_COST,
+    ServerIndex,
+    load_cost,
+)
 from kingcuppulley.fabric.server_load import ServerLoad
 
 # A caller that still waits answers a server within this time; one that has
@@ -29,9 +34,11 @@
 # Queued flows that are treated as within their objective, for each slot of the service.
 MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT = 3
 LEAST_LOAD = "least load"
-# Both costs are in flows per slot and are added to a server's load.
-OTHER_ZONE_COST = 0.8
-MAXIMUM_TIE_BREAK_COST = 0.25
+# Age of an index of servers after which it is built again: cold starts and suspicions
+# end without notice.
+INDEX_VALIDITY_SECONDS = 0.25
+# The same if the registry has changed since.
+CHANGED_INDEX_VALIDITY_SECONDS = 0.05
 LOAD_EVICTION_INTERVAL_SECONDS = 10.0
 
 
@@ -69,6 +76,16 @@
         self.load = load
 
 
+class _ReportedLoads:
+    """Hold the open flows per server that another host reported, and until when."""
+
+    __slots__ = ("flows", "deadline")
+
+    def __init__(self) -> None:
+        self.flows: dict[int, int] = {}
+        self.deadline = 0.0
+
+
 class _PlacedFlow:
     """Hold where a flow was placed and until when it counts as open.
 
@@ -127,6 +144,8 @@
         self._count_deadlines: list[tuple[float, int, _PlacedFlow]] = []
         self._retention_deadlines: deque[tuple[float, bytes, _PlacedFlow]] = deque()
         self._loads: dict[int, ServerLoad] = {}
+        self._reports: dict[str, _ReportedLoads] = {}
+        self._indexes: dict[str, ServerIndex] = {}
         self._queues: dict[str, FlowQueue] = {}
         self._discovery_deadline = 0.0
         self._eviction_deadline = 0.0
@@ -150,6 +169,8 @@
         self, out_of_service: frozenset[str], unreachable: frozenset[str]
     ) -> None:
         """Update the zones that are out of service and those that are unreachable."""
+        if (out_of_service, unreachable) != (self._zones_out, self._unreachable_zones):
+            self._indexes.clear()
         self._zones_out = out_of_service
         self._unreachable_zones = unreachable
 
@@ -185,13 +206,11 @@
 
         A report counts for `LOAD_REPORT_VALIDITY_SECONDS`.
         """
-        deadline = now + LOAD_REPORT_VALIDITY_SECONDS
-        reported = dict(loads)
-        for cookie, load in self._loads.items():
-            if cookie not in reported:
-                load.reported_flows.pop(host, None)
-        for cookie, flows in reported.items():
-            self._load(cookie).reported_flows[host] = (flows, deadline)
+        report = self._reports.get(host)
+        if report is None:
+            report = self._reports[host] = _ReportedLoads()
+        report.deadline = now + LOAD_REPORT_VALIDITY_SECONDS
+        self._replace_report(report, dict(loads))
 
     def open_flow(self, request: FlowRequest, now: float) -> PlacementDecision:
         """Place a new flow, queue it until a server has free capacity, or refuse it."""
@@ -208,7 +227,7 @@
         load = self._load(placed.target.cookie)
         if not placed.is_counted:
             placed.is_counted = True
-            load.own_flows += 1
+            self._change_flows(placed.target, 1)
         self._count_until(placed, load.count_deadline(now))
 
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
@@ -237,6 +256,10 @@
             _, flow, placed = self._retention_deadlines.popleft()
             if self._flows.get(flow) is placed:
                 del self._flows[flow]
+        for host, report in list(self._reports.items()):
+            if now >= report.deadline:
+                self._replace_report(report, {})
+                del self._reports[host]
         if now >= self._eviction_deadline:
             self._eviction_deadline = now + LOAD_EVICTION_INTERVAL_SECONDS
             self._evict_loads()
@@ -247,7 +270,7 @@
     def _evict_loads(self) -> None:
         """Evict the loads of servers that are no longer registered."""
         for cookie, load in list(self._loads.items()):
-            if load.own_flows == 0 and self._registry.by_cookie(cookie) is None:
+            if load.total_flows == 0 and self._registry.by_cookie(cookie) is None:
                 del self._loads[cookie]
 
     def _place_retransmission(
@@ -302,7 +325,7 @@
         self._retention_deadlines.append(
             (now + PLACEMENT_RETENTION_SECONDS, request.flow, placed)
         )
-        load = self._load(target.cookie).total_flows(now)
+        load = self._load(target.cookie).total_flows
         self._count(placed, target, now)
         return PlacementDecision(PlacementOutcome.PLACED, target, LEAST_LOAD, load)
 
@@ -341,6 +364,52 @@
 
         Servers of unreachable zones do not count towards the total slots.
         """
+        if not excluded_cookies:
+            index = self._index_of(service, now)
+            while (target := index.choose(self._generator)) is not None:
+                if self._is_usable(target, now):
+                    flows = self._load(target.cookie).total_flows
+                    return target, _has_capacity(target, flows), index.slots
+                index.remove(target.cookie)
+        return self._compare_all(service, excluded_cookies, now)
+
+    def _index_of(self, service: str, now: float) -> ServerIndex:
+        index = self._indexes.get(service)
+        if index is not None:
+            has_changed = index.registry_version != self._registry.version
+            validity_seconds = (
+                CHANGED_INDEX_VALIDITY_SECONDS
+                if has_changed
+                else INDEX_VALIDITY_SECONDS
+            )
+            if now < index.built_at + validity_seconds:
+                return index
+        index = ServerIndex(self._zone, self._registry.version, now)
+        for target in self._registry.of_service(service):
+            if not target.is_eligible or target.zone in self._zones_out:
+                continue
+            load = self._load(target.cookie)
+            rank = self._rank(target, load, now)
+            if rank != _UNREACHABLE_ZONE_RANK:
+                index.slots += target.slots
+            if rank == 0:
+                index.add(target, load.total_flows)
+        self._indexes[service] = index
+        return index
+
+    def _is_usable(self, target: RegisteredTarget, now: float) -> bool:
+        """Return whether any flow may use a server now."""
+        return (
+            target.is_eligible
+            and target.zone not in self._zones_out
+            and self._registry.by_cookie(target.cookie) is target
+            and self._rank(target, self._load(target.cookie), now) == 0
+        )
+
+    def _compare_all(
+        self, service: str, excluded_cookies: list[int] | tuple[()], now: float
+    ) -> tuple[RegisteredTarget | None, bool, int]:
+        """Choose as `_choose` does, among the servers of every rank."""
         best: RegisteredTarget | None = None
         # Worse than any rank.
         best_key = (9, 0.0)
@@ -357,19 +426,13 @@
                 target, rank, load, now
             ):
                 continue
-            flows = load.total_flows(now)
-            cost = (
-                flows / max(1, target.slots)
-                + MAXIMUM_TIE_BREAK_COST * self._generator.random()
-            )
-            if target.zone != self._zone:
-                cost += OTHER_ZONE_COST
+            flows = load.total_flows
+            tie_break_cost = MAXIMUM_TIE_BREAK_COST * self._generator.random()
+            cost = load_cost(target, flows, self._zone) + tie_break_cost
             if (rank, cost) < best_key:
                 best = target
                 best_key = (rank, cost)
-                best_has_capacity = flows < target.slots * (
-                    1 + MAXIMUM_SERVER_QUEUE_PER_SLOT
-                )
+                best_has_capacity = _has_capacity(target, flows)
         return best, best_has_capacity, slots
 
     def _rank(self, target: RegisteredTarget, load: ServerLoad, now: float) -> int:
@@ -396,7 +459,7 @@
         placed.target = target
         placed.is_counted = True
         load = self._load(target.cookie)
-        load.own_flows += 1
+        self._change_flows(target, 1)
         rank = self._rank(target, load, now)
         if now < target.cold_deadline:
             load.next_placement_at = now + COLD_SERVER_MINIMUM_INTERVAL_SECONDS
@@ -412,10 +475,36 @@
     def _uncount(self, placed: _PlacedFlow) -> None:
         if placed.is_counted:
             placed.is_counted = False
-            self._load(placed.target.cookie).own_flows -= 1
+            self._change_flows(placed.target, -1)
+
+    def _change_flows(self, target: RegisteredTarget, difference: int) -> None:
+        load = self._load(target.cookie)
+        load.own_flows += difference
+        index = self._indexes.get(target.service)
+        if index is not None:
+            index.move(target.cookie, load.total_flows)
+
+    def _replace_report(self, report: _ReportedLoads, flows: dict[int, int]) -> None:
+        for cookie in report.flows.keys() | flows.keys():
+            difference = flows.get(cookie, 0) - report.flows.get(cookie, 0)
+            if difference:
+                self._change_reported_flows(cookie, difference)
+        report.flows = flows
+
+    def _change_reported_flows(self, cookie: int, difference: int) -> None:
+        load = self._load(cookie)
+        load.reported_flows += difference
+        target = self._registry.by_cookie(cookie)
+        index = self._indexes.get(target.service) if target is not None else None
+        if index is not None:
+            index.move(cookie, load.total_flows)
 
     def _load(self, cookie: int) -> ServerLoad:
         load = self._loads.get(cookie)
         if load is None:
             load = self._loads[cookie] = ServerLoad()
         return load
+
+
+def _has_capacity(target: RegisteredTarget, flows: int) -> bool:
+    return flows < target.slots * (1 + MAXIMUM_SERVER_QUEUE_PER_SLOT)
--- /dev/null
+++ b/src/kingcuppulley/fabric/server_index.py
@@ -0,0 +1,106 @@
+"""Find the least loaded backend server of a service without comparing all of them."""
+
+from __future__ import annotations
+
+from random import Random
+
+from kingcuppulley.backend_servers.target_registry import RegisteredTarget
+
+# Both costs are in flows per slot and are added to a server's load.
+OTHER_ZONE_COST = 0.8
+MAXIMUM_TIE_BREAK_COST = 0.25
+
+
+def load_cost(target: RegisteredTarget, flows: int, zone: str) -> float:
+    """Return the cost of one more flow on a server, for a host in `zone`."""
+    cost = flows / max(1, target.slots)
+    return cost if target.zone == zone else cost + OTHER_ZONE_COST
+
+
+class _IndexedServer:
+    """Hold a server's place among the servers of the same cost."""
+
+    __slots__ = ("target", "cost", "position")
+
+    def __init__(self, target: RegisteredTarget, cost: float) -> None:
+        self.target = target
+        self.cost = cost
+        self.position = 0
+
+
+class ServerIndex:
+    """Group the servers of one service that any flow may use by their cost.
+
+    A random cost below `MAXIMUM_TIE_BREAK_COST` is added to that of each server, and
+    the server with the lowest sum is chosen.  The lowest of n random costs is drawn
+    directly, so that the time of a choice does not grow with the number of servers.
+
+    Attributes
+    ----------
+    slots : int
+        Total slots of the service's servers in reachable zones.
+    registry_version : int
+        Version of the registry from which the index was built.
+    built_at : float
+        When the index was built.
+    """
+
+    __slots__ = ("slots", "registry_version", "built_at", "_zone", "_servers", "_costs")
+
+    def __init__(self, zone: str, registry_version: int, now: float) -> None:
+        self.slots = 0
+        self.registry_version = registry_version
+        self.built_at = now
+        self._zone = zone
+        self._servers: dict[int, _IndexedServer] = {}
+        self._costs: dict[float, list[_IndexedServer]] = {}
+
+    def add(self, target: RegisteredTarget, flows: int) -> None:
+        """Add a server with its number of open flows."""
+        server = _IndexedServer(target, load_cost(target, flows, self._zone))
+        self._servers[target.cookie] = server
+        self._insert(server)
+
+    def move(self, cookie: int, flows: int) -> None:
+        """Record a server's new number of open flows, if it is in the index."""
+        server = self._servers.get(cookie)
+        if server is None:
+            return
+        self._take_out(server)
+        server.cost = load_cost(server.target, flows, self._zone)
+        self._insert(server)
+
+    def remove(self, cookie: int) -> None:
+        """Remove a server."""
+        self._take_out(self._servers.pop(cookie))
+
+    def choose(self, generator: Random) -> RegisteredTarget | None:
+        """Return the server with the lowest cost, or None without servers."""
+        best: list[_IndexedServer] = []
+        best_cost = float("inf")
+        for cost in sorted(self._costs):
+            if cost >= best_cost:
+                break
+            servers = self._costs[cost]
+            lowest_of_all = 1.0 - generator.random() ** (1.0 / len(servers))
+            cost_with_tie_break = cost + MAXIMUM_TIE_BREAK_COST * lowest_of_all
+            if cost_with_tie_break < best_cost:
+                best = servers
+                best_cost = cost_with_tie_break
+        if not best:
+            return None
+        return best[generator.randrange(len(best))].target
+
+    def _insert(self, server: _IndexedServer) -> None:
+        servers = self._costs.setdefault(server.cost, [])
+        server.position = len(servers)
+        servers.append(server)
+
+    def _take_out(self, server: _IndexedServer) -> None:
+        servers = self._costs[server.cost]
+        last = servers.pop()
+        if last is not server:
+            servers[server.position] = last
+            last.position = server.position
+        if not servers:
+            del self._costs[server.cost]
--- a/src/kingcuppulley/fabric/server_load.py
+++ b/src/kingcuppulley/fabric/server_load.py
@@ -21,8 +21,8 @@
     ----------
     own_flows : int
         Open flows that this host placed on the server.
-    reported_flows : dict
-        Open flows that other hosts placed, by host, each with the report's deadline.
+    reported_flows : int
+        Open flows that other hosts placed, by their valid reports.
     suspicion_seconds : float
         How long the next suspicion lasts.
     next_placement_at : float
@@ -43,11 +43,16 @@
     def __init__(self) -> None:
         self.own_flows = 0
         self.average_seconds = MINIMUM_COUNT_SECONDS / COUNTED_AVERAGE_DURATIONS
-        self.reported_flows: dict[str, tuple[int, float]] = {}
+        self.reported_flows = 0
         self.suspicion_seconds = SERVER_SUSPICION_SECONDS
         self.suspicion_deadline = 0.0
         self.next_placement_at = 0.0
 
+    @property
+    def total_flows(self) -> int:
+        """Return the known number of open flows, including those of other hosts."""
+        return self.own_flows + self.reported_flows
+
     def suspect(self, now: float) -> None:
         """Avoid a server that did not answer, for longer each time until it answers."""
         if now < self.suspicion_deadline:
@@ -73,11 +78,3 @@
             MINIMUM_COUNT_SECONDS, self.average_seconds * COUNTED_AVERAGE_DURATIONS
         )
         return now + min(MAXIMUM_COUNT_SECONDS, seconds)
-
-    def total_flows(self, now: float) -> int:
-        """Return the known number of open flows, including those of other hosts."""
-        total = self.own_flows
-        for flows, report_deadline in self.reported_flows.values():
-            if now < report_deadline:
-                total += flows
-        return total
