Divide the servers of a large service in a zone among several placement coordinators

Cause: one coordinator placed all flows of a service in a zone; at the size to design for that is 2,300 flows a second, and reports on 667 servers ten times a second to each zone. Change: a service with more than 64 servers in a zone has a power of two of shares (fabric/service_shares.py), each with its own coordinator by rendezvous; a flow belongs to one share by its hash. A coordinator prefers the servers of its share and uses those of the other shares of its zone as it uses those of other zones; of each other zone it uses those of one share. Load reports go to just the coordinators that may use a server, with the loads of their services, and at most 80 a second. At 64 servers or fewer in a zone nothing changes but the loads in reports.

--- a/src/kingcuppulley/entry_hosts/coordinator_table.py
+++ b/src/kingcuppulley/entry_hosts/coordinator_table.py
@@ -1,7 +1,8 @@
 """Select the placement coordinators: the hosts that place a service's new flows.
 
-Each service has one in each zone.  They are not the slot coordinators, which lease
-slots to gateways; see `backend_servers/slot_coordinator.py`.
+Each service has one in each zone, or several if it has many servers there, each for a
+share of the servers (see `fabric/service_shares.py`).  They are not the slot
+coordinators, which lease slots to gateways; see `backend_servers/slot_coordinator.py`.
 """
 
 from __future__ import annotations
@@ -28,7 +29,7 @@
         self._hosts: dict[str, EntryHostInfo] = {}
         self._suspicion_deadlines: dict[str, float] = {}
         self._reported_at: dict[str, float] = {}
-        self._ranked_addresses: dict[tuple[str, str], list[str]] = {}
+        self._ranked_addresses: dict[tuple[str, str, int], list[str]] = {}
         self._last_seen_at: dict[str, float] = {}
 
     def update(self, hosts: list[EntryHostInfo], now: float) -> None:
@@ -45,9 +46,11 @@
         """Skip an unresponsive host for `HOST_SUSPICION_SECONDS`."""
         self._suspicion_deadlines[address] = now + HOST_SUSPICION_SECONDS
 
-    def coordinator(self, zone: str, service: str, now: float) -> str | None:
-        """Return the host that places a service's flows in a zone, or None."""
-        for address in self._ranked(zone, service):
+    def coordinator(
+        self, zone: str, service: str, now: float, share: int = 0
+    ) -> str | None:
+        """Return the host that places the flows of a service's share in a zone."""
+        for address in self._ranked(zone, service, share):
             if now >= self._suspicion_deadlines.get(address, 0.0):
                 return address
         return None
@@ -101,8 +104,8 @@
             if zone != self._zone and now - reported_at > LOAD_REPORT_TIMEOUT_SECONDS
         )
 
-    def _ranked(self, zone: str, service: str) -> list[str]:
-        key = (zone, service)
+    def _ranked(self, zone: str, service: str, share: int = 0) -> list[str]:
+        key = (zone, service, share)
         ranked = self._ranked_addresses.get(key)
         if ranked is None:
             addresses = [
@@ -110,5 +113,6 @@
                 for host in self._hosts.values()
                 if host.zone == zone and not host.is_leaving
             ]
-            ranked = self._ranked_addresses[key] = list(rank_names(service, addresses))
+            name = f"{service}/{share}" if share else service
+            ranked = self._ranked_addresses[key] = list(rank_names(name, addresses))
         return ranked
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -41,6 +41,10 @@
 
 SUBSCRIPTION_INTERVAL_SECONDS = 0.25
 LOAD_REPORT_INTERVAL_SECONDS = 0.1
+# With many coordinators a host reports less often, but well within the validity of a
+# report.
+MAXIMUM_LOAD_REPORTS_PER_SECOND = 80
+MAXIMUM_LOAD_REPORT_INTERVAL_SECONDS = 0.2
 FETCH_RETRY_INTERVAL_SECONDS = 0.15
 COLD_START_MARGIN_SECONDS = 0.5
 
@@ -212,8 +216,7 @@
             self._handle_lost_control_hosts(now)
             self._log_changed_targets(self._registry.tick(now))
         if now >= self._report_deadline:
-            self._report_deadline = now + LOAD_REPORT_INTERVAL_SECONDS
-            self._send_load_report(now)
+            self._send_load_reports(now)
 
     def _subscribe_to_relay(self) -> None:
         relay = self._control.relay
@@ -405,27 +408,48 @@
             self._subscription_deadline = self._now
 
     def _may_place_on_cold(self, target: RegisteredTarget) -> bool:
+        share = self._placement.shares.share_of_server(target)
         coordinator = self._coordinators.coordinator(
-            target.zone, target.service, self._now
+            target.zone, target.service, self._now, share
         )
         return coordinator == self._address
 
-    def _send_load_report(self, now: float) -> None:
+    def _send_load_reports(self, now: float) -> None:
         self._update_placement_zones(now)
-        loads = self._placement.own_loads()
-        services = self._routing_table.service_names()
-        is_coordinator = any(
-            self._coordinators.coordinator(self._zone, service, now) == self._address
-            for service in services
-        )
-        if not loads and not is_coordinator:
-            return
-        recipients = {
-            self._coordinators.coordinator(zone, service, now)
-            for zone in {*self._coordinators.other_zones(), self._zone}
-            for service in services
+        loads_by_service = self._placement.own_loads()
+        loads_by_recipient: dict[str, list[tuple[int, int]]] = {}
+        for service in self._routing_table.service_names():
+            loads = loads_by_service.get(service, [])
+            for recipient in self._report_recipients(service, bool(loads), now):
+                loads_by_recipient.setdefault(recipient, []).extend(loads)
+        for recipient, loads in loads_by_recipient.items():
+            self._send(recipient, LoadReport(self._zone, loads))
+        interval = len(loads_by_recipient) / MAXIMUM_LOAD_REPORTS_PER_SECOND
+        interval = min(MAXIMUM_LOAD_REPORT_INTERVAL_SECONDS, interval)
+        self._report_deadline = now + max(LOAD_REPORT_INTERVAL_SECONDS, interval)
+
+    def _report_recipients(self, service: str, has_loads: bool, now: float) -> set[str]:
+        """Return the coordinators that may use a server that this host places on."""
+        shares = self._placement.shares
+        own_shares = range(shares.count(self._zone, service))
+        own_coordinators = [
+            self._coordinators.coordinator(self._zone, service, now, share)
+            for share in own_shares
+        ]
+        coordinated = [
+            share for share in own_shares if own_coordinators[share] == self._address
+        ]
+        if not coordinated and not has_loads:
+            return set()
+        recipients = set(own_coordinators)
+        for zone in self._coordinators.other_zones():
+            share_count = shares.count(zone, service)
+            for share in {share % share_count for share in coordinated or (0,)}:
+                recipients.add(
+                    self._coordinators.coordinator(zone, service, now, share)
+                )
+        return {
+            address
+            for address in recipients
+            if address is not None and address != self._address
         }
-        report = LoadReport(self._zone, loads)
-        for recipient in recipients:
-            if recipient is not None and recipient != self._address:
-                self._send(recipient, report)
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from enum import Enum
 from itertools import count
 from random import Random
@@ -20,6 +20,7 @@
     load_cost,
 )
 from kingcuppulley.fabric.server_load import ServerLoad
+from kingcuppulley.fabric.service_shares import ServiceShares
 
 # A caller that still waits answers a server within this time; one that has
 # disconnected never does.
@@ -145,7 +146,9 @@
         self._retention_deadlines: deque[tuple[float, bytes, _PlacedFlow]] = deque()
         self._loads: dict[int, ServerLoad] = {}
         self._reports: dict[str, _ReportedLoads] = {}
-        self._indexes: dict[str, ServerIndex] = {}
+        self._shares = ServiceShares(registry)
+        # By service and share.
+        self._indexes: dict[str, dict[int, ServerIndex]] = {}
         self._queues: dict[str, FlowQueue] = {}
         self._discovery_deadline = 0.0
         self._eviction_deadline = 0.0
@@ -155,6 +158,11 @@
         self._unreachable_zones: frozenset[str] = frozenset()
         self._may_place_on_cold: Callable[[RegisteredTarget], bool] = lambda _: True
 
+    @property
+    def shares(self) -> ServiceShares:
+        """Return the shares into which the servers are divided."""
+        return self._shares
+
     @property
     def queued_count(self) -> int:
         """Return how many flows are queued for a backend server."""
@@ -191,13 +199,17 @@
         for queue in self._queues.values():
             queue.discovery_deadline = self._discovery_deadline
 
-    def own_loads(self) -> list[tuple[int, int]]:
-        """Return the cookie and open flows of each server that this host uses."""
-        return [
-            (cookie, load.own_flows)
-            for cookie, load in self._loads.items()
-            if load.own_flows
-        ]
+    def own_loads(self) -> dict[str, list[tuple[int, int]]]:
+        """Return the cookie and open flows of each server that this host uses.
+
+        They are grouped by service; servers that are no longer registered are left out.
+        """
+        loads: dict[str, list[tuple[int, int]]] = {}
+        for cookie, load in self._loads.items():
+            target = self._registry.by_cookie(cookie) if load.own_flows else None
+            if target is not None:
+                loads.setdefault(target.service, []).append((cookie, load.own_flows))
+        return loads
 
     def update_reported_loads(
         self, host: str, loads: list[tuple[int, int]], now: float
@@ -281,7 +293,7 @@
         unanswered_target = placed.target
         self._load(unanswered_target.cookie).suspect(now)
         placed.unanswered_cookies.append(unanswered_target.cookie)
-        target = self._choose(request.service, placed.unanswered_cookies, now)[0]
+        target = self._choose(request, placed.unanswered_cookies, now)[0]
         if target is None:
             return PlacementDecision(
                 PlacementOutcome.PLACED, unanswered_target, "no other server"
@@ -293,7 +305,7 @@
         )
 
     def _place_new_flow(self, request: FlowRequest, now: float) -> PlacementDecision:
-        target, has_capacity, slots = self._choose(request.service, (), now)
+        target, has_capacity, slots = self._choose(request, (), now)
         is_discovery_over = now >= self._discovery_deadline
         if target is None and not slots and is_discovery_over:
             return PlacementDecision(
@@ -332,7 +344,7 @@
     def _release_queued(self, service: str, now: float) -> None:
         queue = self._queue_of(service)
         while (request := queue.first(now)) is not None:
-            target, has_capacity, _ = self._choose(service, (), now)
+            target, has_capacity, _ = self._choose(request, (), now)
             if target is None or not has_capacity:
                 return
             queue.release(request, now)
@@ -358,23 +370,26 @@
         return queue
 
     def _choose(
-        self, service: str, excluded_cookies: list[int] | tuple[()], now: float
+        self, request: FlowRequest, excluded_cookies: list[int] | tuple[()], now: float
     ) -> tuple[RegisteredTarget | None, bool, int]:
         """Return the best server, whether it has free capacity, and the total slots.
 
         Servers of unreachable zones do not count towards the total slots.
         """
+        service = request.service
+        share = self._shares.share_of_flow(self._zone, service, request.flow)
         if not excluded_cookies:
-            index = self._index_of(service, now)
+            index = self._index_of(service, share, now)
             while (target := index.choose(self._generator)) is not None:
                 if self._is_usable(target, now):
                     flows = self._load(target.cookie).total_flows
                     return target, _has_capacity(target, flows), index.slots
                 index.remove(target.cookie)
-        return self._compare_all(service, excluded_cookies, now)
+        return self._compare_all(service, share, excluded_cookies, now)
 
-    def _index_of(self, service: str, now: float) -> ServerIndex:
-        index = self._indexes.get(service)
+    def _index_of(self, service: str, share: int, now: float) -> ServerIndex:
+        indexes = self._indexes.setdefault(service, {})
+        index = indexes.get(share)
         if index is not None:
             has_changed = index.registry_version != self._registry.version
             validity_seconds = (
@@ -384,19 +399,32 @@
             )
             if now < index.built_at + validity_seconds:
                 return index
-        index = ServerIndex(self._zone, self._registry.version, now)
-        for target in self._registry.of_service(service):
-            if not target.is_eligible or target.zone in self._zones_out:
-                continue
+        index = indexes[share] = ServerIndex(self._registry.version, now)
+        for target in self._candidates(service, share):
             load = self._load(target.cookie)
             rank = self._rank(target, load, now)
             if rank != _UNREACHABLE_ZONE_RANK:
                 index.slots += target.slots
             if rank == 0:
-                index.add(target, load.total_flows)
-        self._indexes[service] = index
+                is_own = self._is_own(target, share)
+                index.add(target, load.total_flows, is_own=is_own)
         return index
 
+    def _candidates(self, service: str, share: int) -> Iterator[RegisteredTarget]:
+        """Return the servers in service that the flows of a share may use."""
+        for target in self._registry.of_service(service):
+            if (
+                target.is_eligible
+                and target.zone not in self._zones_out
+                and self._shares.is_candidate(target, self._zone, service, share)
+            ):
+                yield target
+
+    def _is_own(self, target: RegisteredTarget, share: int) -> bool:
+        return (
+            target.zone == self._zone and self._shares.share_of_server(target) == share
+        )
+
     def _is_usable(self, target: RegisteredTarget, now: float) -> bool:
         """Return whether any flow may use a server now."""
         return (
@@ -407,7 +435,11 @@
         )
 
     def _compare_all(
-        self, service: str, excluded_cookies: list[int] | tuple[()], now: float
+        self,
+        service: str,
+        share: int,
+        excluded_cookies: list[int] | tuple[()],
+        now: float,
     ) -> tuple[RegisteredTarget | None, bool, int]:
         """Choose as `_choose` does, among the servers of every rank."""
         best: RegisteredTarget | None = None
@@ -415,9 +447,7 @@
         best_key = (9, 0.0)
         best_has_capacity = False
         slots = 0
-        for target in self._registry.of_service(service):
-            if not target.is_eligible or target.zone in self._zones_out:
-                continue
+        for target in self._candidates(service, share):
             load = self._load(target.cookie)
             rank = self._rank(target, load, now)
             if rank != _UNREACHABLE_ZONE_RANK:
@@ -428,7 +458,8 @@
                 continue
             flows = load.total_flows
             tie_break_cost = MAXIMUM_TIE_BREAK_COST * self._generator.random()
-            cost = load_cost(target, flows, self._zone) + tie_break_cost
+            is_own = self._is_own(target, share)
+            cost = load_cost(target, flows, is_own=is_own) + tie_break_cost
             if (rank, cost) < best_key:
                 best = target
                 best_key = (rank, cost)
@@ -480,9 +511,7 @@
     def _change_flows(self, target: RegisteredTarget, difference: int) -> None:
         load = self._load(target.cookie)
         load.own_flows += difference
-        index = self._indexes.get(target.service)
-        if index is not None:
-            index.move(target.cookie, load.total_flows)
+        self._move_in_indexes(target, load)
 
     def _replace_report(self, report: _ReportedLoads, flows: dict[int, int]) -> None:
         for cookie in report.flows.keys() | flows.keys():
@@ -495,9 +524,12 @@
         load = self._load(cookie)
         load.reported_flows += difference
         target = self._registry.by_cookie(cookie)
-        index = self._indexes.get(target.service) if target is not None else None
-        if index is not None:
-            index.move(cookie, load.total_flows)
+        if target is not None:
+            self._move_in_indexes(target, load)
+
+    def _move_in_indexes(self, target: RegisteredTarget, load: ServerLoad) -> None:
+        for index in self._indexes.get(target.service, {}).values():
+            index.move(target.cookie, load.total_flows)
 
     def _load(self, cookie: int) -> ServerLoad:
         load = self._loads.get(cookie)
--- a/src/kingcuppulley/fabric/server_index.py
+++ b/src/kingcuppulley/fabric/server_index.py
@@ -7,29 +7,33 @@
 from kingcuppulley.backend_servers.target_registry import RegisteredTarget
 
 # Both costs are in flows per slot and are added to a server's load.
-OTHER_ZONE_COST = 0.8
+OTHER_SHARE_COST = 0.8
 MAXIMUM_TIE_BREAK_COST = 0.25
 
 
-def load_cost(target: RegisteredTarget, flows: int, zone: str) -> float:
-    """Return the cost of one more flow on a server, for a host in `zone`."""
+def load_cost(target: RegisteredTarget, flows: int, *, is_own: bool) -> float:
+    """Return the cost of one more flow on a server.
+
+    `is_own` says whether the server belongs to the share of the host that chooses.
+    """
     cost = flows / max(1, target.slots)
-    return cost if target.zone == zone else cost + OTHER_ZONE_COST
+    return cost if is_own else cost + OTHER_SHARE_COST
 
 
 class _IndexedServer:
     """Hold a server's place among the servers of the same cost."""
 
-    __slots__ = ("target", "cost", "position")
+    __slots__ = ("target", "is_own", "cost", "position")
 
-    def __init__(self, target: RegisteredTarget, cost: float) -> None:
+    def __init__(self, target: RegisteredTarget, flows: int, is_own: bool) -> None:
         self.target = target
-        self.cost = cost
+        self.is_own = is_own
+        self.cost = load_cost(target, flows, is_own=is_own)
         self.position = 0
 
 
 class ServerIndex:
-    """Group the servers of one service that any flow may use by their cost.
+    """Group the servers that any flow of one share may use by their cost.
 
     A random cost below `MAXIMUM_TIE_BREAK_COST` is added to that of each server, and
     the server with the lowest sum is chosen.  The lowest of n random costs is drawn
@@ -38,26 +42,26 @@
     Attributes
     ----------
     slots : int
-        Total slots of the service's servers in reachable zones.
+        Total slots of the servers that the flows of the share may use, without those
+        of unreachable zones.
     registry_version : int
         Version of the registry from which the index was built.
     built_at : float
         When the index was built.
     """
 
-    __slots__ = ("slots", "registry_version", "built_at", "_zone", "_servers", "_costs")
+    __slots__ = ("slots", "registry_version", "built_at", "_servers", "_costs")
 
-    def __init__(self, zone: str, registry_version: int, now: float) -> None:
+    def __init__(self, registry_version: int, now: float) -> None:
         self.slots = 0
         self.registry_version = registry_version
         self.built_at = now
-        self._zone = zone
         self._servers: dict[int, _IndexedServer] = {}
         self._costs: dict[float, list[_IndexedServer]] = {}
 
-    def add(self, target: RegisteredTarget, flows: int) -> None:
+    def add(self, target: RegisteredTarget, flows: int, *, is_own: bool) -> None:
         """Add a server with its number of open flows."""
-        server = _IndexedServer(target, load_cost(target, flows, self._zone))
+        server = _IndexedServer(target, flows, is_own)
         self._servers[target.cookie] = server
         self._insert(server)
 
@@ -67,7 +71,7 @@
         if server is None:
             return
         self._take_out(server)
-        server.cost = load_cost(server.target, flows, self._zone)
+        server.cost = load_cost(server.target, flows, is_own=server.is_own)
         self._insert(server)
 
     def remove(self, cookie: int) -> None:
--- /dev/null
+++ b/src/kingcuppulley/fabric/service_shares.py
@@ -0,0 +1,78 @@
+"""Divide the servers of a service in a zone among several placement coordinators.
+
+Each share has its own coordinator, which counts the flows of the share's servers.  A
+coordinator prefers these servers and uses others as it uses those of other zones.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from kingcuppulley.backend_servers.heartbeats import ServingState
+from kingcuppulley.backend_servers.target_registry import (
+    RegisteredTarget,
+    TargetRegistry,
+)
+from kingcuppulley.internal.rendezvous import hash_bytes
+
+# One coordinator per share must be able to place the flows of all its servers.
+SERVERS_PER_SHARE = 64
+
+
+class ServiceShares:
+    """Compute the shares of each service and zone from the registry.
+
+    The number of shares is a power of two, so that half of the servers keep their share
+    when it changes.  All hosts with the same registry compute the same shares.
+    """
+
+    def __init__(self, registry: TargetRegistry) -> None:
+        self._registry = registry
+        self._registry_version = -1
+        self._counts: dict[tuple[str, str], int] = {}
+
+    def count(self, zone: str, service: str) -> int:
+        """Return the number of shares of a service in a zone; at least 1."""
+        if self._registry_version != self._registry.version:
+            self._registry_version = self._registry.version
+            self._counts = self._compute_counts()
+        return self._counts.get((zone, service), 1)
+
+    def share_of_server(self, target: RegisteredTarget) -> int:
+        """Return the share of a server among those of its zone."""
+        return target.cookie % self.count(target.zone, target.service)
+
+    def share_of_flow(self, zone: str, service: str, flow: bytes) -> int:
+        """Return the share that a new flow belongs to, in the zone that received it."""
+        share_count = self.count(zone, service)
+        if share_count == 1:
+            return 0
+        # The lower bits of the hash choose the service of the flow.
+        return (hash_bytes(flow) >> 32) % share_count
+
+    def is_candidate(
+        self, target: RegisteredTarget, zone: str, service: str, share: int
+    ) -> bool:
+        """Return whether the coordinator of a share in `zone` may use a server.
+
+        It may use all servers of its zone, and in each other zone those of one share,
+        whose coordinator it exchanges load reports with.
+        """
+        if target.zone == zone:
+            return True
+        share_count = self.count(target.zone, service)
+        return target.cookie % share_count == share % share_count
+
+    def _compute_counts(self) -> dict[tuple[str, str], int]:
+        servers = Counter(
+            (target.zone, target.service)
+            for target in self._registry.targets
+            if target.state in (ServingState.READY, ServingState.DRAINING)
+        )
+        counts = {}
+        for key, number in servers.items():
+            share_count = 1
+            while share_count * SERVERS_PER_SHARE < number:
+                share_count *= 2
+            counts[key] = share_count
+        return counts
--- a/tests/cover/test_server_index.py
+++ b/tests/cover/test_server_index.py
@@ -18,6 +18,7 @@
 from kingcuppulley.fabric.server_index import ServerIndex
 from tests.seeded_fakes import SERVICE, flow_request, heartbeat, registry_of
 
+REQUEST = flow_request(b"flow")
 ZONES = {"zone-a": 4, "zone-b": 3, "zone-c": 2}
 
 
@@ -52,7 +53,7 @@
     placement = placement_of(ZONES)
     placement.update_zones(frozenset(out), frozenset(unreachable))
     report(placement, flows, 0.0)
-    placement._index_of(SERVICE, 0.0)
+    placement._index_of(SERVICE, 0, 0.0)
     # These servers change after the index was built.
     zone_numbers = [zone for zone, number in ZONES.items() for _ in range(number)]
     placement._registry.update(
@@ -75,9 +76,9 @@
     by_index = Counter()
     by_comparison = Counter()
     for _ in range(samples):
-        target, has_capacity, _ = placement._choose(SERVICE, (), 0.01)
+        target, has_capacity, _ = placement._choose(REQUEST, (), 0.01)
         by_index[target and target.name, has_capacity] += 1
-        target, has_capacity, _ = placement._compare_all(SERVICE, (), 0.01)
+        target, has_capacity, _ = placement._compare_all(SERVICE, 0, (), 0.01)
         by_comparison[target and target.name, has_capacity] += 1
     for choice in by_index | by_comparison:
         difference = abs(by_index[choice] - by_comparison[choice])
@@ -90,7 +91,7 @@
     generator = Random(1)
     for step in range(200):
         report(placement, [generator.randrange(6) for _ in range(100)], step * 0.01)
-        target, _, _ = placement._choose(SERVICE, (), step * 0.01)
+        target, _, _ = placement._choose(REQUEST, (), step * 0.01)
         assert target is not None
         lowest = min(
             placement._load(other.cookie).total_flows / other.slots
@@ -117,7 +118,10 @@
 
 
 def test_pattern_many_servers_are_not_compared_for_each_flow():
-    """A service of 2,000 servers: a flow must not cost a look at each of them."""
+    """A service of 2,000 servers: a flow must not cost a look at each of them.
+
+    The flows are those of one share, which has a coordinator of its own.
+    """
     placement = placement_of({"zone-a": 500, "zone-b": 1500})
     ranked = count()
     rank = placement._rank
@@ -128,9 +132,16 @@
 
     placement._rank = counting_rank  # type: ignore[method-assign]
     flows = 1000
+    flow_ids = (b"flow-%d" % number for number in count())
+    own_flow_ids = (
+        flow
+        for flow in flow_ids
+        if placement.shares.share_of_flow("zone-a", SERVICE, flow) == 1
+    )
     for number in range(flows):
         now = number / flows
-        decision = placement.open_flow(flow_request(b"flow-%d" % number, now), now)
+        request = flow_request(next(own_flow_ids), now)
+        decision = placement.open_flow(request, now)
         assert decision.outcome is PlacementOutcome.PLACED
     builds = 1 + 1 / INDEX_VALIDITY_SECONDS
     assert next(ranked) <= 2 * flows + builds * 2000
@@ -138,10 +149,10 @@
 
 def test_a_server_that_is_taken_out_keeps_the_others_in_their_places():
     registry = registry_of({"zone-a": 4})
-    index = ServerIndex("zone-a", 0, 0.0)
+    index = ServerIndex(0, 0.0)
     targets = registry.of_service(SERVICE)
     for target in targets:
-        index.add(target, 0)
+        index.add(target, 0, is_own=True)
     index.remove(targets[0].cookie)
     index.move(targets[3].cookie, 2)
     index.move(targets[1].cookie, 2)
