Count a flow only until its request is answered

Cause: a placed flow counted until its end, or up to 2 s, although callers with long flows mostly pause; and the duration of a long flow entered the average by which the queue decides which flows can still meet their objective. After an outage all callers open flows at once: those that only paused kept the others from the servers. Change: the host that received a flow's opening follows requests and answers by the caller's packets (data, then acknowledgements, then 30 ms of quiet) and reports the answer to the coordinator (FlowAnswered), which stops to count the flow, records the time of the answer, and counts the flow again at its next request. Flows that end with their answer cost no further message.

--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -21,6 +21,7 @@
     FetchHostList,
     FetchHosts,
     FlowAcknowledged,
+    FlowAnswered,
     FlowEnded,
     FlowEstablished,
     FlowRefused,
@@ -184,6 +185,8 @@
                 self._router.flow_refused(address, message)
             case FlowEstablished():
                 self._router.flow_established(message, now)
+            case FlowAnswered():
+                self._router.flow_answered(message, now)
             case FlowEnded():
                 self._router.flow_ended(message, now)
             case LoadReport():
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -153,6 +153,16 @@
     flow: bytes
 
 
+class FlowAnswered(msgspec.Struct, frozen=True, array_like=True, tag="fa"):
+    """Report that a flow pauses after its caller received an answer.
+
+    `seconds` is the time from the request to the end of its answer.
+    """
+
+    flow: bytes
+    seconds: float
+
+
 class FlowEnded(msgspec.Struct, frozen=True, array_like=True, tag="fe"):
     """Report that a flow's caller ended it, and whether a server had answered."""
 
@@ -185,6 +195,7 @@
     | FlowAcknowledged
     | FlowRefused
     | FlowEstablished
+    | FlowAnswered
     | FlowEnded
 )
 EntryMessage = FlowMessage | LoadReport
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -18,6 +18,7 @@
 from kingcuppulley.entry_hosts.coordinator_table import CoordinatorTable
 from kingcuppulley.entry_hosts.seeded_messages import (
     FlowAcknowledged,
+    FlowAnswered,
     FlowEnded,
     FlowEstablished,
     FlowMessage,
@@ -39,6 +40,8 @@
 
 PLACEMENT_ACKNOWLEDGEMENT_TIMEOUT_SECONDS = 0.04
 FLOW_RECORD_RETENTION_SECONDS = 4.0
+# A flow without a packet for this long after part of an answer has all of the answer.
+QUIET_AFTER_ANSWER_SECONDS = 0.03
 # How long a server's first packet takes to reach the caller that waits for it.
 ANSWER_TRAVEL_SECONDS = 0.03
 # Origin of a flow that its coordinator did not acknowledge: if no server is found for
@@ -81,14 +84,36 @@
 
 
 class _FlowRecord:
-    """Hold which host placed a flow, and whether that host knows of an answer."""
+    """Hold which host placed a flow, and what that host knows of its answers.
+
+    Attributes
+    ----------
+    is_reported_established : bool
+        Whether the host that placed the flow counts it as established.
+    is_answer_reported : bool
+        Whether that host knows of an answer; then only a new request counts.
+    request_at : float or None
+        When the caller sent the request that is not answered yet.
+    answered_at : float
+        When the caller last acknowledged part of the answer.
+    """
 
-    __slots__ = ("placed_by", "recorded_at", "is_reported_established")
+    __slots__ = (
+        "placed_by",
+        "recorded_at",
+        "is_reported_established",
+        "is_answer_reported",
+        "request_at",
+        "answered_at",
+    )
 
     def __init__(self, placed_by: str, now: float) -> None:
         self.placed_by = placed_by
         self.recorded_at = now
         self.is_reported_established = False
+        self.is_answer_reported = False
+        self.request_at: float | None = None
+        self.answered_at = 0.0
 
 
 class CookieRouter:
@@ -125,6 +150,8 @@
         self._log = log
         self._pending_placements: OrderedDict[bytes, _PendingPlacement] = OrderedDict()
         self._flow_records: OrderedDict[bytes, _FlowRecord] = OrderedDict()
+        # Flows whose answer may be complete, the latest acknowledgement last.
+        self._answered_flows: OrderedDict[bytes, _FlowRecord] = OrderedDict()
         self.is_ready = False
 
     def packet_from_fabric(self, packet: bytes, now: float) -> None:
@@ -176,6 +203,10 @@
         """Record that a server has answered the caller of a flow placed here."""
         self._placement.flow_established(message.flow, now)
 
+    def flow_answered(self, message: FlowAnswered, now: float) -> None:
+        """Record that a flow placed here pauses after an answer."""
+        self._placement.flow_answered(message.flow, message.seconds, now)
+
     def flow_ended(self, message: FlowEnded, now: float) -> None:
         """Record the end of a flow that was placed here."""
         self._placement.end_flow(message.flow, message.was_answered, now)
@@ -207,6 +238,7 @@
             # not reset it.
             pending.request.origin = NO_ORIGIN
             self._place_flow(pending.request, now)
+        self._report_answered(now)
         while self._flow_records:
             flow, record = next(iter(self._flow_records.items()))
             if now - record.recorded_at < FLOW_RECORD_RETENTION_SECONDS:
@@ -309,7 +341,7 @@
             # A caller learns a cookie only from a server's answer.
             self._end_flow(header.flow, header.cookie != 0, now)
         elif header.cookie:
-            self._report_established(header.flow, now)
+            self._track_answer(header, now)
         target = self._registry.by_cookie(header.cookie)
         if target is None:
             self._forward_to_peer(packet, header, now)
@@ -355,9 +387,26 @@
         )
         self._transport.send_to_target(datagram, target.endpoint)
 
-    def _report_established(self, flow: bytes, now: float) -> None:
-        record = self._flow_records.get(flow)
-        if record is None or record.is_reported_established:
+    def _track_answer(self, header: FlowPacket, now: float) -> None:
+        """Follow the requests and answers of a flow by its caller's packets."""
+        record = self._flow_records.get(header.flow)
+        if record is None:
+            return
+        is_new_request = header.has_data and record.request_at is None
+        if is_new_request:
+            record.request_at = now
+        if is_new_request or not record.is_answer_reported:
+            self._report_established(header.flow, record, now)
+        if header.has_data:
+            self._answered_flows.pop(header.flow, None)
+        elif record.request_at is not None:
+            # Without data, the packet acknowledges part of the answer.
+            record.answered_at = now
+            self._answered_flows[header.flow] = record
+            self._answered_flows.move_to_end(header.flow)
+
+    def _report_established(self, flow: bytes, record: _FlowRecord, now: float) -> None:
+        if record.is_reported_established:
             return
         record.is_reported_established = True
         if record.placed_by == self._address:
@@ -365,8 +414,27 @@
         else:
             self._transport.send_to_host(record.placed_by, FlowEstablished(flow))
 
+    def _report_answered(self, now: float) -> None:
+        """Report the flows that pause after an answer."""
+        while self._answered_flows:
+            flow, record = next(iter(self._answered_flows.items()))
+            if now - record.answered_at < QUIET_AFTER_ANSWER_SECONDS:
+                break
+            del self._answered_flows[flow]
+            assert record.request_at is not None
+            seconds = record.answered_at - record.request_at
+            record.request_at = None
+            record.is_reported_established = False
+            record.is_answer_reported = True
+            message = FlowAnswered(flow, seconds)
+            if record.placed_by == self._address:
+                self.flow_answered(message, now)
+            else:
+                self._transport.send_to_host(record.placed_by, message)
+
     def _end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
         record = self._flow_records.pop(flow, None)
+        self._answered_flows.pop(flow, None)
         if record is None:
             return
         self._log.record_sampled_step(
--- a/src/kingcuppulley/fabric/formats.py
+++ b/src/kingcuppulley/fabric/formats.py
@@ -25,6 +25,8 @@
     cookie : int
         Cookie of the flow's target, which the caller learned from its answer; 0 for
         none.
+    has_data : bool
+        Whether the packet carries a part of a request.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         "ends_flow",
         "retransmission",
         "cookie",
+        "has_data",
     )
 
     def __init__(
@@ -44,6 +47,7 @@
         ends_flow: bool,
         retransmission: int,
         cookie: int,
+        has_data: bool,
     ) -> None:
         self.flow = flow
         self.route_key = route_key
@@ -51,6 +55,7 @@
         self.ends_flow = ends_flow
         self.retransmission = retransmission
         self.cookie = cookie
+        self.has_data = has_data
 
 
 class PacketFormat(Protocol):
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -99,6 +99,7 @@
         "placed_at",
         "is_counted",
         "count_deadline",
+        "is_duration_recorded",
         "unanswered_cookies",
     )
 
@@ -107,6 +108,7 @@
         self.placed_at = now
         self.is_counted = True
         self.count_deadline = 0.0
+        self.is_duration_recorded = False
         self.unanswered_cookies: list[int] = []
 
 
@@ -122,12 +124,13 @@
 class Placement:
     """Place the new flows of some services on their backend servers.
 
-    A flow counts as open until its caller ends it, or until it has lasted several times
-    the average duration of the server's flows: its caller has probably given up without
-    notice.  A flow whose caller never answers the server counts for
-    `ESTABLISHMENT_TIMEOUT_SECONDS` only.  A retransmitted opening packet means that the
-    server chosen first did not answer: the flow moves to another server, and the first
-    one is suspected for a limited time, in which other servers are preferred.
+    A flow counts as open until its caller ends it, or pauses after an answer, or until
+    the count has lasted several times the average duration of the server's flows: its
+    caller has probably given up without notice.  A flow whose caller never answers the
+    server counts for `ESTABLISHMENT_TIMEOUT_SECONDS` only.  A retransmitted opening
+    packet means that the server chosen first did not answer: the flow moves to another
+    server, and the first one is suspected for a limited time, in which other servers
+    are preferred.
     """
 
     def __init__(
@@ -242,20 +245,34 @@
             self._change_flows(placed.target, 1)
         self._count_until(placed, load.count_deadline(now))
 
+    def flow_answered(self, flow: bytes, seconds: float, now: float) -> None:
+        """Stop to count a flow that pauses after an answer that took `seconds`.
+
+        The flow counts again when `flow_established` reports its next request.
+        """
+        placed = self._flows.get(flow)
+        if placed is None:
+            return
+        self._record_duration(placed, seconds, now)
+        self._uncount(placed)
+        self._release_queued(placed.target.service, now)
+
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
         """Record the end of a flow and release queued flows in its place."""
         placed = self._flows.pop(flow, None)
         if placed is None:
             return
-        if was_answered:
-            self._zone_answered_at[placed.target.zone] = now
-            self._load(placed.target.cookie).record_duration(now - placed.placed_at)
-            self._queue_of(placed.target.service).record_duration(
-                now - placed.placed_at
-            )
+        if was_answered and not placed.is_duration_recorded:
+            self._record_duration(placed, now - placed.placed_at, now)
         self._uncount(placed)
         self._release_queued(placed.target.service, now)
 
+    def _record_duration(self, placed: _PlacedFlow, seconds: float, now: float) -> None:
+        placed.is_duration_recorded = True
+        self._zone_answered_at[placed.target.zone] = now
+        self._load(placed.target.cookie).record_duration(seconds)
+        self._queue_of(placed.target.service).record_duration(seconds)
+
     def tick(self, now: float) -> None:
         """Expire old flows, then release or drop queued flows."""
         services = set()
--- a/src/kingcuppulley/platform/packets.py
+++ b/src/kingcuppulley/platform/packets.py
@@ -78,6 +78,7 @@
             bool(flags & _END_FLAGS),
             retransmission,
             cookie,
+            length > 0,
         )
 
     def retransmission_due_seconds(self, retransmission: int) -> float:
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -52,7 +52,13 @@
             raise MalformedPacketError("the packet is not a flow, a kind and a cookie")
         flow, kind, cookie = fields
         return FlowPacket(
-            flow, SERVICE_KEY, kind == b"open", kind == b"end", 0, int(cookie.decode())
+            flow,
+            SERVICE_KEY,
+            kind == b"open",
+            kind == b"end",
+            0,
+            int(cookie.decode()),
+            kind == b"data",
         )
 
     @property
