Get the state from the own zone when all hosts return at once

Hosts without a relay subscribed directly to all control hosts and were sent everything for 10 s more; hosts that had just started followed a seed of another zone until they knew the control host of their own; and a relay that others had left went on sending. Change: an update names the zone of a control host that can be a relay, so a host chooses its relay from the first answers; a control host names only its instance to a host that does not know it; news that is not urgent goes to followers alone; a host that changes its relay ends the subscription to the old one. The answer to a request is reported in a field of FlowEstablished, so that builds of both kinds read every message of each other. Tests: test_pattern_restart_of_all_control_hosts_moves_the_state_inside_zones fails first.

--- a/src/kingcuppulley/control/ensemble_host.py
+++ b/src/kingcuppulley/control/ensemble_host.py
@@ -154,11 +154,6 @@
         """Return the peers whose last hello is within `LIVENESS_TIMEOUT_SECONDS`."""
         return sorted(host for host, peer in self._peers.items() if _is_live(peer, now))
 
-    def zone_of(self, host: str) -> str:
-        """Return the zone of a peer, or an empty string if it is not known."""
-        peer = self._peers.get(host)
-        return peer.zone if peer is not None else ""
-
     def update_seeds(self, seeds: list[str]) -> None:
         """Replace the seeds, the control hosts that the settings name."""
         self._seeds = seeds
--- a/src/kingcuppulley/control/relayed_sources.py
+++ b/src/kingcuppulley/control/relayed_sources.py
@@ -67,6 +67,10 @@
         if source is None or has_news:
             source = UpdateSource(update.host, update.instance, ChangeLog(), now)
             self._sources[update.host] = source
+            if not update.change_number:
+                # The first answer names only the instance; its changes follow.
+                self._subscribe(update.host)
+        source.relay_zone = update.relay_zone
         source.last_received_at = now
         source.discovery_deadline = now + update.discovery_remaining_ms / 1000
         self._request_host_list(source, update, now)
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -108,6 +108,7 @@
         self._own_source.discovery_deadline = (
             clock() + DISCOVERY_HEARTBEAT_INTERVALS * heartbeat_seconds
         )
+        self._own_source.relay_zone = zone
         self._relayed = RelayedSources(address, zone, transport.send)
         self._heartbeat_check_deadline = 0.0
         self._ensemble = EnsembleHost(
@@ -122,7 +123,7 @@
             generator,
             clock(),
         )
-        self._updates = UpdateSender(self._own_source, zone, transport, self._ensemble)
+        self._updates = UpdateSender(self._own_source, transport, self._ensemble)
 
     @property
     def ensemble(self) -> EnsembleHost:
@@ -270,7 +271,7 @@
             voters=[member.host for member in state.voters.members],
             joint=state.voters.is_joint,
         )
-        self._notify(self._address, is_urgent=True)
+        self._notify(self._address, is_urgent=False)
 
     def tick(self, now: float) -> None:
         """Process every deadline that has passed."""
@@ -322,9 +323,12 @@
         if subscriber is None:
             subscriber = Subscriber()
             self._updates.subscribers[subscription.address] = subscriber
-            is_control_host = subscription.address in self._ensemble.known_hosts()
+            subscriber.is_control_host = (
+                subscription.address in self._ensemble.known_hosts()
+            )
+            role = "control" if subscriber.is_control_host else "entry"
             self._log.event(
-                f"{'control' if is_control_host else 'entry'} host subscribed",
+                f"{role} host subscribed",
                 host=subscription.address,
                 zone=subscription.zone,
             )
@@ -348,6 +352,11 @@
             subscriber.confirm(position, now)
         if is_listed_differently:
             self._update_ready_hosts(now)
+        if isinstance(subscription, SubscribeToControl) and (
+            subscription.instance != self._instance
+        ):
+            self._updates.greet(subscription.address, now)
+            return
         self._updates.answer(
             subscription.address, subscriber, self._relayed.sources, now
         )
--- a/src/kingcuppulley/control/update_sender.py
+++ b/src/kingcuppulley/control/update_sender.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+import msgspec
+
 from kingcuppulley.backend_servers.change_log import MAXIMUM_UPDATE_TARGETS
 from kingcuppulley.control.update_source import UpdateSource
 from kingcuppulley.entry_hosts.seeded_messages import (
@@ -16,6 +18,8 @@
 
 # Changes that are not urgent are collected for this long.
 UPDATE_INTERVAL_SECONDS = 0.1
+# A host that has not subscribed for this long may follow another control host.
+FOLLOWER_TIMEOUT_SECONDS = 1.0
 # Time after which changes that a subscriber has not confirmed are sent again.
 RESEND_DELAY_SECONDS = 0.4
 
@@ -40,9 +44,6 @@
     def live_hosts(self, now: float) -> list[str]:
         """Return the other control hosts that are live."""
 
-    def zone_of(self, host: str) -> str:
-        """Return the zone of another control host, or an empty string."""
-
 
 class _SentPosition:
     """Hold the last change of one control host that was sent to a subscriber."""
@@ -64,17 +65,35 @@
         Whether the host is an entry host that serves callers.
     follows_all : bool
         Whether it gets the updates of all control hosts, not only of this one.
+    is_control_host : bool
+        Whether it relays the updates of this control host.
     """
 
-    __slots__ = ("info", "is_ready", "follows_all", "last_received_at", "_positions")
+    __slots__ = (
+        "info",
+        "is_ready",
+        "follows_all",
+        "is_control_host",
+        "last_received_at",
+        "_positions",
+    )
 
     def __init__(self) -> None:
         self.info = EntryHostInfo("", "", False)
         self.is_ready = False
         self.follows_all = False
+        self.is_control_host = False
         self.last_received_at = 0.0
         self._positions: dict[str, _SentPosition] = {}
 
+    def gets_all_news(self, now: float) -> bool:
+        """Return whether news that is not urgent is sent before the next subscription.
+
+        Other hosts get it from their relay, or as an answer to a subscription.
+        """
+        is_following = self.follows_all or self.is_control_host
+        return is_following and now - self.last_received_at < FOLLOWER_TIMEOUT_SECONDS
+
     def confirm_all(self, positions: list[SourcePosition], now: float) -> None:
         """Continue at the positions that the subscriber names, and at 0 elsewhere."""
         named = {position.host for position in positions}
@@ -126,12 +145,10 @@
     def __init__(
         self,
         own_source: UpdateSource,
-        zone: str,
         transport: UpdateTransport,
         group: ControlGroup,
     ) -> None:
         self._own_source = own_source
-        self._zone = zone
         self._transport = transport
         self._group = group
         self._subscribers: dict[str, Subscriber] = {}
@@ -143,6 +160,18 @@
         """Return the subscribers by address."""
         return self._subscribers
 
+    def greet(self, address: str, now: float) -> None:
+        """Name this control host's instance to one that does not know it.
+
+        The host subscribes again with it, unless it then has a relay.
+        """
+        control_hosts = [self._own_source.host, *self._group.live_hosts(now)]
+        update = self._own_source.build_update(
+            0, control_hosts, self._group.revision, now, limit=0
+        )
+        greeting = msgspec.structs.replace(update, has_more=False)
+        self._transport.send(address, greeting)
+
     def answer(
         self,
         address: str,
@@ -165,22 +194,26 @@
         """
         self._hosts_with_news.add(host)
         if is_urgent:
-            self._send_news(relayed, now)
+            self._send_news(relayed, now, is_urgent=True)
         else:
             self.tick(relayed, now)
 
     def tick(self, relayed: Iterable[UpdateSource], now: float) -> None:
         """Send the news of the last interval."""
         if self._hosts_with_news and now >= self._interval_deadline:
-            self._send_news(relayed, now)
+            self._send_news(relayed, now, is_urgent=False)
 
-    def _send_news(self, relayed: Iterable[UpdateSource], now: float) -> None:
+    def _send_news(
+        self, relayed: Iterable[UpdateSource], now: float, *, is_urgent: bool
+    ) -> None:
         has_own_news = self._own_source.host in self._hosts_with_news
         sources = [source for source in relayed if source.host in self._hosts_with_news]
         groups: dict[
             tuple[object, ...], tuple[ControlUpdate | RelayedUpdate, list[str]]
         ] = {}
         for address, subscriber in self._subscribers.items():
+            if not is_urgent and not subscriber.gets_all_news(now):
+                continue
             if not subscriber.follows_all and not has_own_news:
                 continue
             key = self._group_key(subscriber, sources)
@@ -229,8 +262,7 @@
         ages_ms = [
             round(max(0.0, now - source.last_received_at) * 1000) for source in sources
         ]
-        zones = [self._zone, *(self._group.zone_of(host) for host in live_hosts)]
-        return RelayedUpdate(self._zone, updates, [0, *ages_ms], zones)
+        return RelayedUpdate(updates, [0, *ages_ms])
 
     def _record_sent(
         self,
--- a/src/kingcuppulley/control/update_source.py
+++ b/src/kingcuppulley/control/update_source.py
@@ -22,6 +22,8 @@
         Identifies `hosts`; 0 until an entry host is ready.
     discovery_deadline : float
         Until when first heartbeats may still reach the control host.
+    relay_zone : str
+        Zone of the control host if it can be a relay, else empty.
     last_received_at : float
         When a message of the control host last arrived.
     """
@@ -33,6 +35,7 @@
         "hosts",
         "hosts_digest",
         "discovery_deadline",
+        "relay_zone",
         "last_received_at",
     )
 
@@ -43,6 +46,7 @@
         self.hosts: list[EntryHostInfo] = []
         self.hosts_digest = 0
         self.discovery_deadline = 0.0
+        self.relay_zone = ""
         self.last_received_at = now
 
     def update_hosts(self, hosts: list[EntryHostInfo]) -> None:
@@ -71,4 +75,5 @@
             control_hosts,
             revision,
             round(max(0.0, self.discovery_deadline - now) * 1000),
+            self.relay_zone,
         )
--- a/src/kingcuppulley/entry_hosts/control_follower.py
+++ b/src/kingcuppulley/entry_hosts/control_follower.py
@@ -1,8 +1,9 @@
 """Choose the control hosts that an entry host subscribes to.
 
-An entry host follows one control host, its relay, which passes on the updates of all of
-them.  A control host that the relay has not received a message from lately is
-subscribed to directly, because a cut may separate it from the relay only.
+An entry host follows one control host, its relay, which passes on the updates of all
+of them.  Without a relay it subscribes to each control host directly.  With one, it
+does so only for those from which the relay has not received a message lately, because
+a cut may separate them from the relay only.
 """
 
 from __future__ import annotations
@@ -14,13 +15,12 @@
 
 # Time without an answer after which an entry host chooses another relay.
 RELAY_TIMEOUT_SECONDS = 0.6
-# The same before any control host has answered: several seeds may be down.
-FIRST_RELAY_TIMEOUT_SECONDS = 0.2
 # For this long a relay that did not answer is the last choice.
 RELAY_SUSPICION_SECONDS = 2.0
 # Age of the newest message of a control host above which it is subscribed to directly.
 MAXIMUM_RELAYED_AGE_SECONDS = 0.75
-# Interval of direct subscriptions to a control host that does not answer them.
+# Interval of direct subscriptions, beside a relay, to a control host that does not
+# answer them.
 UNANSWERED_INTERVAL_SECONDS = 1.0
 UNANSWERED_DELAY_SECONDS = 3.0
 CONTROL_HOST_TIMEOUT_SECONDS = 1.0
@@ -34,6 +34,8 @@
 
     Attributes
     ----------
+    zone : str
+        Zone in which the control host is a relay; empty if it is not known to be one.
     received_at : float
         When the newest message of the control host arrived, here or at the relay.
     known_since : float
@@ -102,8 +104,6 @@
         self._statuses: dict[str, ControlHostStatus] = {}
         self._relay: str | None = None
         self._relay_chosen_at = 0.0
-        self._has_been_answered = False
-        self._has_subscribed = False
 
     @property
     def statuses(self) -> dict[str, ControlHostStatus]:
@@ -130,22 +130,24 @@
             if host not in self._statuses:
                 self._statuses[host] = ControlHostStatus(now)
 
-    def record_zones(self, hosts: Iterable[str], zones: Iterable[str]) -> None:
-        """Record the zones of known control hosts; an empty string is unknown."""
-        for host, zone in zip(hosts, zones, strict=False):
-            if zone and host in self._statuses:
-                self._statuses[host].zone = zone
+    def record_relay_zone(self, host: str, zone: str) -> None:
+        """Record that a control host can be a relay; an empty zone says nothing."""
+        if zone:
+            self._statuses[host].zone = zone
 
-    def record_relay(self, host: str, zone: str, now: float) -> None:
+    def record_relayed(self, host: str, now: float) -> None:
         """Record that a control host passed on updates as a relay."""
         self.add([host], now)
         self._statuses[host].answered_at = now
-        self._statuses[host].zone = zone
+        self._statuses[host].suspicion_deadline = 0.0
+
+    def record_direct(self, host: str) -> None:
+        """Record that a control host answered itself, so that it may be a relay."""
+        self._statuses[host].suspicion_deadline = 0.0
 
     def record_received(self, host: str, received_at: float, now: float) -> bool:
         """Record a message of a control host; return whether it was lost before."""
         self.add([host], now)
-        self._has_been_answered = True
         status = self._statuses[host]
         status.received_at = max(status.received_at, received_at)
         if not status.is_lost or now - received_at > CONTROL_HOST_TIMEOUT_SECONDS:
@@ -153,13 +155,17 @@
         status.is_lost = False
         return True
 
+    def has_relay(self, now: float) -> bool:
+        """Return whether the relay has passed on updates lately."""
+        status = self._statuses.get(self._relay) if self._relay is not None else None
+        return status is not None and now - status.answered_at <= RELAY_TIMEOUT_SECONDS
+
     def choose_relay(self, now: float) -> str | None:
-        """Return the control host to follow now."""
+        """Return the control host to follow now, or None if no relay is known."""
         self.add(self._seeds, now)
         self._suspect_silent_relay(now)
-        best = min(
-            self._statuses, key=lambda host: self._relay_order(host, now), default=None
-        )
+        relays = [host for host, status in self._statuses.items() if status.zone]
+        best = min(relays, key=lambda host: self._relay_order(host, now), default=None)
         if best != self._relay:
             self._relay = best
             self._relay_chosen_at = now
@@ -170,15 +176,16 @@
 
         `interval_seconds` is the interval of subscriptions to one that answers.
         """
-        is_without_answer = self._has_subscribed and not self._has_been_answered
-        self._has_subscribed = True
+        has_relay = self.has_relay(now)
         hosts = []
         for host, status in self._statuses.items():
             age = now - max(status.received_at, status.known_since)
-            is_covered = age <= MAXIMUM_RELAYED_AGE_SECONDS and not is_without_answer
-            if host == self._relay or is_covered or now < status.subscription_deadline:
+            is_covered = has_relay and (
+                host == self._relay or age <= MAXIMUM_RELAYED_AGE_SECONDS
+            )
+            if is_covered or now < status.subscription_deadline:
                 continue
-            is_unanswered = age > UNANSWERED_DELAY_SECONDS
+            is_unanswered = has_relay and age > UNANSWERED_DELAY_SECONDS
             status.subscription_deadline = now + (
                 UNANSWERED_INTERVAL_SECONDS if is_unanswered else interval_seconds
             )
@@ -212,12 +219,7 @@
         if status is None:
             self._relay = None
             return
-        timeout = (
-            RELAY_TIMEOUT_SECONDS
-            if self._has_been_answered
-            else FIRST_RELAY_TIMEOUT_SECONDS
-        )
-        if now - max(status.answered_at, self._relay_chosen_at) > timeout:
+        if now - max(status.answered_at, self._relay_chosen_at) > RELAY_TIMEOUT_SECONDS:
             status.suspicion_deadline = now + RELAY_SUSPICION_SECONDS
 
     def _relay_order(self, host: str, now: float) -> tuple[bool, bool, bool, int]:
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -21,7 +21,6 @@
     FetchHostList,
     FetchHosts,
     FlowAcknowledged,
-    FlowAnswered,
     FlowEnded,
     FlowEstablished,
     FlowRefused,
@@ -185,8 +184,6 @@
                 self._router.flow_refused(address, message)
             case FlowEstablished():
                 self._router.flow_established(message, now)
-            case FlowAnswered():
-                self._router.flow_answered(message, now)
             case FlowEnded():
                 self._router.flow_ended(message, now)
             case LoadReport():
@@ -210,7 +207,7 @@
         self._request_state(now)
         if now >= self._subscription_deadline:
             self._subscription_deadline = now + SUBSCRIPTION_INTERVAL_SECONDS
-            self._control.choose_relay(now)
+            self._change_relay(now)
             self._subscribe_to_relay()
             for host in self._control.hosts_to_subscribe(
                 now, SUBSCRIPTION_INTERVAL_SECONDS
@@ -221,6 +218,16 @@
         if now >= self._report_deadline:
             self._send_load_reports(now)
 
+    def _change_relay(self, now: float) -> None:
+        """Follow another control host if that is better now."""
+        previous_relay = self._control.relay
+        if self._control.choose_relay(now) == previous_relay:
+            return
+        self._subscribe_to_relay()
+        if previous_relay is not None:
+            # A direct subscription ends the one to a relay.
+            self._subscribe(previous_relay)
+
     def _subscribe_to_relay(self) -> None:
         relay = self._control.relay
         if relay is None:
@@ -260,19 +267,21 @@
     def _apply_relayed_updates(self, message: RelayedUpdate, now: float) -> None:
         relay_update = message.updates[0]
         relay = relay_update.host
-        self._control.record_relay(relay, message.zone, now)
+        self._control.record_relayed(relay, now)
         for update, age_ms in zip(message.updates, message.ages_ms, strict=False):
             self._apply_update(update, now - age_ms / 1000, now)
             self._request_host_list(update, relay, True, now)
-        self._control.record_zones(relay_update.control_hosts, message.control_zones)
         if any(update.has_more for update in message.updates):
             self._subscribe_to_relay()
+        self._change_relay(now)
         self._finish_update(now)
 
     def _apply_direct_update(self, update: ControlUpdate, now: float) -> None:
         self._apply_update(update, now, now)
+        self._control.record_direct(update.host)
+        self._change_relay(now)
         self._request_host_list(update, update.host, False, now)
-        if update.has_more:
+        if update.has_more and not self._control.has_relay(now):
             self._subscribe(update.host)
         self._finish_update(now)
 
@@ -290,6 +299,7 @@
             self._log.event_unthrottled("control host reachable", control=update.host)
         self._last_update_at = now
         self._control.add(update.control_hosts, now)
+        self._control.record_relay_zone(update.host, update.relay_zone)
         changed_targets = self._registry.update(
             update.host,
             update.instance,
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -90,7 +90,8 @@
     send equal digests, so that an entry host fetches each list once.  It is 0 until an
     entry host is ready.  `revision` is that of the routing state.
     `discovery_remaining_ms` is how much longer the first heartbeats of backend
-    servers may take to reach a control host that started recently.
+    servers may take to reach a control host that started recently.  `relay_zone` is the
+    zone of a control host that answers `SubscribeToRelay`; earlier builds leave it out.
     """
 
     host: str
@@ -103,6 +104,7 @@
     control_hosts: list[str]
     revision: int
     discovery_remaining_ms: int
+    relay_zone: str = ""
 
 
 class RelayedUpdate(msgspec.Struct, frozen=True, array_like=True, tag="cr"):
@@ -111,13 +113,10 @@
     `updates` starts with the relay's own update.  The others name no control hosts and
     no revision: the relay follows the routing state itself.  `ages_ms` says for each
     update how long ago the relay received a message from that control host.
-    `control_zones` holds the zone of each host in the relay's `control_hosts`.
     """
 
-    zone: str
     updates: list[ControlUpdate]
     ages_ms: list[int]
-    control_zones: list[str]
 
 
 class PlaceFlow(msgspec.Struct, frozen=True, array_like=True, tag="pf"):
@@ -148,19 +147,14 @@
 
 
 class FlowEstablished(msgspec.Struct, frozen=True, array_like=True, tag="fo"):
-    """Report that a flow's caller has received an answer from its backend server."""
-
-    flow: bytes
-
-
-class FlowAnswered(msgspec.Struct, frozen=True, array_like=True, tag="fa"):
-    """Report that a flow pauses after its caller received an answer.
+    """Report that a flow's caller has received an answer from its backend server.
 
-    `seconds` is the time from the request to the end of its answer.
+    `answer_seconds` is set if the flow pauses now: the time from its request to the end
+    of the answer.  Without it, the server works on a request of the flow.
     """
 
     flow: bytes
-    seconds: float
+    answer_seconds: float | None = None
 
 
 class FlowEnded(msgspec.Struct, frozen=True, array_like=True, tag="fe"):
@@ -195,7 +189,6 @@
     | FlowAcknowledged
     | FlowRefused
     | FlowEstablished
-    | FlowAnswered
     | FlowEnded
 )
 EntryMessage = FlowMessage | LoadReport
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -18,7 +18,6 @@
 from kingcuppulley.entry_hosts.coordinator_table import CoordinatorTable
 from kingcuppulley.entry_hosts.seeded_messages import (
     FlowAcknowledged,
-    FlowAnswered,
     FlowEnded,
     FlowEstablished,
     FlowMessage,
@@ -200,12 +199,11 @@
             self._reset(message.flow)
 
     def flow_established(self, message: FlowEstablished, now: float) -> None:
-        """Record that a server has answered the caller of a flow placed here."""
-        self._placement.flow_established(message.flow, now)
-
-    def flow_answered(self, message: FlowAnswered, now: float) -> None:
-        """Record that a flow placed here pauses after an answer."""
-        self._placement.flow_answered(message.flow, message.seconds, now)
+        """Record that a server works for a flow placed here, or has answered it."""
+        if message.answer_seconds is None:
+            self._placement.flow_established(message.flow, now)
+        else:
+            self._placement.flow_answered(message.flow, message.answer_seconds, now)
 
     def flow_ended(self, message: FlowEnded, now: float) -> None:
         """Record the end of a flow that was placed here."""
@@ -409,10 +407,7 @@
         if record.is_reported_established:
             return
         record.is_reported_established = True
-        if record.placed_by == self._address:
-            self._placement.flow_established(flow, now)
-        else:
-            self._transport.send_to_host(record.placed_by, FlowEstablished(flow))
+        self._report(record, FlowEstablished(flow), now)
 
     def _report_answered(self, now: float) -> None:
         """Report the flows that pause after an answer."""
@@ -426,11 +421,15 @@
             record.request_at = None
             record.is_reported_established = False
             record.is_answer_reported = True
-            message = FlowAnswered(flow, seconds)
-            if record.placed_by == self._address:
-                self.flow_answered(message, now)
-            else:
-                self._transport.send_to_host(record.placed_by, message)
+            self._report(record, FlowEstablished(flow, seconds), now)
+
+    def _report(
+        self, record: _FlowRecord, message: FlowEstablished, now: float
+    ) -> None:
+        if record.placed_by == self._address:
+            self.flow_established(message, now)
+        else:
+            self._transport.send_to_host(record.placed_by, message)
 
     def _end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
         record = self._flow_records.pop(flow, None)
--- a/tests/cover/test_control_traffic.py
+++ b/tests/cover/test_control_traffic.py
@@ -178,3 +178,33 @@
         assert all(entry.is_ready for entry in network.entries.values())
         network.controls[seed] = control
         network.run(2.0)
+
+
+@pytest.mark.parametrize("restarted_entry_hosts", [False, True])
+def test_pattern_restart_of_all_control_hosts_moves_the_state_inside_zones(
+    restarted_entry_hosts: bool,
+):
+    """When all hosts return at once, each entry host gets the state from its zone.
+
+    Between zones go one copy for each pair of control hosts, and a first page or less
+    for each entry host.
+    """
+    network = deployment_at_rest(5, 5, 30)
+    servers = SERVERS_PER_ENTRY_HOST * 30
+    controls = dict(network.controls)
+    network.controls.clear()
+    network.run(1.0)
+    for name in controls:
+        network.controls[name] = network.start_control(name)
+    if restarted_entry_hosts:
+        for name in network.entry_names:
+            network.entries[name] = network.start_entry(name)
+    network.run(5.0)
+    for name in network.entry_names:
+        assert len(network.known_servers(name)) == servers
+    copies_of_control_hosts = 4 * servers * BYTES_PER_SERVER
+    rest_of_control_hosts = 6.0 * 5 * 4 * 3000
+    share_of_entry_hosts = 30 * servers * BYTES_PER_SERVER / 4
+    assert control_bytes_between_zones(network) < (
+        copies_of_control_hosts + rest_of_control_hosts + share_of_entry_hosts
+    )
