--- a/src/kingcuppulley/control/distribution.py
+++ b/src/kingcuppulley/control/distribution.py
@@ -12,6 +12,8 @@
 POLL_INTERVAL_SECONDS = 1.0
 # Time after which a poll without an answer is sent to another source.
 POLL_TIMEOUT_SECONDS = 2.0
+# Time after which a host that polls a fallback tries a source again.
+FALLBACK_VALIDITY_SECONDS = 5.0
 # Total size of documents at which a delta ends; the last one may exceed it.
 DELTA_FULL_BYTES = 32_768
 
@@ -85,7 +87,8 @@
 
     After a poll that was not answered in time, another source is chosen at random.  A
     control host that became unreachable without notice therefore costs one poll that
-    is not answered, and the change still arrives.
+    is not answered, and the change still arrives.  A fallback is left again after
+    `FALLBACK_VALIDITY_SECONDS`: two hosts that poll only each other get no change.
     """
 
     def __init__(
@@ -102,8 +105,9 @@
         self._on_register = on_register
         self._generator = generator
         self._source: str | None = None
-        self._epoch = ""
-        self._sequence = 0
+        # Epoch and sequence of the last delta of each source.
+        self._positions: dict[str, tuple[str, int]] = {}
+        self._fallback_deadline = 0.0
         self._poll_deadline = 0.0
         self._answer_deadline: float | None = None
         self._failed_polls = 0
@@ -114,6 +118,14 @@
             self._failed_polls += 1
             self._source = None
             self._answer_deadline = None
+        if (
+            self._source not in self._sources
+            and self._sources
+            and self._answer_deadline is None
+            and now >= self._fallback_deadline
+        ):
+            self._source = None
+            self._failed_polls = 0
         if now >= self._poll_deadline and self._answer_deadline is None:
             self._poll(now)
 
@@ -126,8 +138,7 @@
             return
         self._failed_polls = 0
         self._answer_deadline = None
-        self._epoch = delta.epoch
-        self._sequence = delta.sequence
+        self._positions[host] = (delta.epoch, delta.sequence)
         for register in delta.registers:
             self._on_register(register)
         if not delta.complete:
@@ -136,13 +147,13 @@
     def _poll(self, now: float) -> None:
         if self._source is None:
             self._source = self._choose_source()
-            self._epoch = ""
-            self._sequence = 0
+            self._fallback_deadline = now + FALLBACK_VALIDITY_SECONDS
         if self._source is None:
             return
         self._poll_deadline = now + POLL_INTERVAL_SECONDS
         self._answer_deadline = now + POLL_TIMEOUT_SECONDS
-        self._sender.send(self._source, Poll(self._epoch, self._sequence))
+        position = self._positions.get(self._source, ("", 0))
+        self._sender.send(self._source, Poll(*position))
 
     def _choose_source(self) -> str | None:
         # Fallbacks are the other entry hosts of the zone: an entry host that restarts
