--- a/tests/cover/test_configuration_feed.py
+++ b/tests/cover/test_configuration_feed.py
@@ -126,7 +126,7 @@
 
 
 def test_a_host_that_returns_to_a_source_gets_nothing_twice():
-    """Sources change while control hosts are silent; a snapshot must not follow each."""
+    """A change of source must not cost a snapshot each time."""
     network = Network(3)
     network.choose(1)
     for cycle in range(6):
