--- a/src/kingcuppulley/experiments/regression.py
+++ b/src/kingcuppulley/experiments/regression.py
@@ -58,8 +58,9 @@
 
 def compare(site: str, before: ScoreEntry | None, now: ScoreEntry) -> list[str]:
     """Return the rows of one site: its score, then each day."""
+    score_before = before.score if before else None
     rows = [
-        f"| {site} | score | {_number(before and before.score)} | "
+        f"| {site} | score | {_number(score_before)} | "
         f"{_number(now.score)} | {'passed' if now.passed else 'FAILED'} |"
     ]
     worth_before = {day.name: day.worth for day in before.days} if before else {}
