Take out servers whose control host left with them, and forget what a relay copied long ago

Cause: an entry host kept the reports of a control host that is gone for good, so a server that died with it counted as ready for ever; and a relay's copy kept every server that ever left, since the control host that reported it evicts without a change. Found while looking for servers in use again after one of our restarts. Tests: three in test_control_traffic.py: a server that dies with its control host is taken out; a host that hears no control host keeps every server; a relay forgets.

--- a/src/kingcuppulley/backend_servers/target_registry.py
+++ b/src/kingcuppulley/backend_servers/target_registry.py
@@ -164,6 +164,18 @@
                 changed.append(target)
         return changed
 
+    def remove_source(self, host: str, now: float) -> list[RegisteredTarget]:
+        """Discard the reports of a control host and return the servers that changed.
+
+        A server that only it reported is unresponsive: while it runs, it sends
+        heartbeats to another control host.
+        """
+        source = self._sources.pop(host, None)
+        if source is None:
+            return []
+        merged = [self._merge(name, now) for name in source.heartbeats]
+        return [target for target in merged if target is not None]
+
     def tick(self, now: float) -> list[RegisteredTarget]:
         """Expire reports of previous instances and return the servers that changed.
 
--- a/src/kingcuppulley/control/relayed_sources.py
+++ b/src/kingcuppulley/control/relayed_sources.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from kingcuppulley.backend_servers.change_log import ChangeLog
+from kingcuppulley.backend_servers.heartbeat_table import HEARTBEAT_RETENTION_SECONDS
 from kingcuppulley.backend_servers.heartbeats import ServingState
 from kingcuppulley.control.update_source import UpdateSource
 from kingcuppulley.entry_hosts.seeded_messages import (
@@ -18,6 +19,7 @@
 FETCH_RETRY_INTERVAL_SECONDS = 0.15
 # A copy is relayed this long after the last message of its control host.
 COPY_RETENTION_SECONDS = 10.0
+EVICTION_INTERVAL_SECONDS = 10.0
 
 
 class RelayedSources:
@@ -31,6 +33,7 @@
         self._send = send
         self._sources: dict[str, UpdateSource] = {}
         self._subscription_deadline = 0.0
+        self._eviction_deadline = 0.0
         self._host_list_deadlines: dict[str, float] = {}
 
     @property
@@ -56,6 +59,9 @@
             if now - source.last_received_at > COPY_RETENTION_SECONDS:
                 del self._sources[host]
                 self._host_list_deadlines.pop(host, None)
+        if now >= self._eviction_deadline:
+            self._eviction_deadline = now + EVICTION_INTERVAL_SECONDS
+            self._evict_unused(now)
 
     def apply_update(self, update: ControlUpdate, now: float) -> bool | None:
         """Copy an update; return None without news, else whether it is urgent.
@@ -97,6 +103,15 @@
             source.hosts = host_list.hosts
             source.hosts_digest = host_list.digest
 
+    def _evict_unused(self, now: float) -> None:
+        """Evict servers out of use: their control host evicts them without a change."""
+        for source in self._sources.values():
+            for entry in source.log.entries():
+                is_used = entry.state in (ServingState.READY, ServingState.DRAINING)
+                elapsed = now - entry.last_received_at
+                if not is_used and elapsed > HEARTBEAT_RETENTION_SECONDS:
+                    source.log.remove(entry.heartbeat.name)
+
     def _subscribe(self, host: str) -> None:
         source = self._sources.get(host)
         instance = source.instance if source is not None else ""
--- a/src/kingcuppulley/entry_hosts/control_follower.py
+++ b/src/kingcuppulley/entry_hosts/control_follower.py
@@ -179,7 +179,7 @@
         has_relay = self.has_relay(now)
         hosts = []
         for host, status in self._statuses.items():
-            age = now - max(status.received_at, status.known_since)
+            age = self._age(status, now)
             is_covered = has_relay and (
                 host == self._relay or age <= MAXIMUM_RELAYED_AGE_SECONDS
             )
@@ -193,17 +193,37 @@
         return hosts
 
     def expire(self, now: float) -> list[str]:
-        """Forget control hosts that left, and return those that are lost from now."""
+        """Return the control hosts that are lost from now."""
         lost = []
-        for host, status in list(self._statuses.items()):
-            elapsed = now - max(status.received_at, status.known_since)
-            if elapsed > CONTROL_HOST_RETENTION_SECONDS and host not in self._seeds:
-                del self._statuses[host]
-            elif elapsed > CONTROL_HOST_TIMEOUT_SECONDS and not status.is_lost:
+        for host, status in self._statuses.items():
+            if not status.is_lost and self._age(status, now) > (
+                CONTROL_HOST_TIMEOUT_SECONDS
+            ):
                 status.is_lost = True
                 lost.append(host)
         return lost
 
+    def remove_departed(self, now: float) -> list[str]:
+        """Return the control hosts that left, and forget those that are no seeds.
+
+        While no other control host is heard, this host is cut off, and none has left.
+        """
+        departed = [
+            host
+            for host, status in self._statuses.items()
+            if self._age(status, now) > CONTROL_HOST_RETENTION_SECONDS
+        ]
+        if all(status.is_lost for status in self._statuses.values()):
+            return []
+        for host in departed:
+            if host not in self._seeds:
+                del self._statuses[host]
+        return departed
+
+    @staticmethod
+    def _age(status: ControlHostStatus, now: float) -> float:
+        return now - max(status.received_at, status.known_since)
+
     def listed_hosts(self, now: float) -> list[EntryHostInfo]:
         """Return the entry hosts that any control host has listed lately."""
         hosts = {
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -263,6 +263,8 @@
                 # A control host that has that state too reports it in its next update.
                 self._newest_revision = self._revision
             self._log.event_unthrottled("control host lost", control=host)
+        for host in self._control.remove_departed(now):
+            self._log_changed_targets(self._registry.remove_source(host, now))
 
     def _apply_relayed_updates(self, message: RelayedUpdate, now: float) -> None:
         relay_update = message.updates[0]
@@ -342,6 +344,9 @@
             return
         if now < self._host_list_deadlines.get(digest, 0.0):
             return
+        for other, deadline in list(self._host_list_deadlines.items()):
+            if now >= deadline:
+                del self._host_list_deadlines[other]
         self._host_list_deadlines[digest] = now + FETCH_RETRY_INTERVAL_SECONDS
         self._send(sender, FetchHostList(digest) if is_relayed else FetchHosts())
 
--- a/tests/control_traffic.py
+++ b/tests/control_traffic.py
@@ -129,6 +129,13 @@
         control = self.control_names[number % len(self.control_names)]
         self._send_heartbeat(name, control, zones[number % len(zones)])
 
+    def stop_server(self, number: int) -> None:
+        """Let a server send no more heartbeats."""
+        name = f"i-{number + 1:x}"
+        self._heartbeat_times = [
+            entry for entry in self._heartbeat_times if entry[1] != name
+        ]
+
     def configure(self, version: int) -> None:
         results: list[object] = []
         control = self.controls[self.control_names[0]]
--- a/tests/cover/test_control_traffic.py
+++ b/tests/cover/test_control_traffic.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from kingcuppulley.backend_servers.heartbeat_table import HEARTBEAT_RETENTION_SECONDS
+from kingcuppulley.control.relayed_sources import EVICTION_INTERVAL_SECONDS
+from kingcuppulley.entry_hosts.control_follower import CONTROL_HOST_RETENTION_SECONDS
 from tests.control_traffic import SERVERS_PER_ENTRY_HOST, ControlNetwork
 
 BUDGET_BYTES_PER_SECOND = 11_000
@@ -208,3 +211,38 @@
     assert control_bytes_between_zones(network) < (
         copies_of_control_hosts + rest_of_control_hosts + share_of_entry_hosts
     )
+
+
+def test_a_server_that_dies_with_its_control_host_is_taken_out():
+    """Nobody reports its silence, so its last report must not count for ever."""
+    network = deployment_at_rest(3, 3, 6)
+    lost = network.control_names[0]
+    del network.controls[lost]
+    network.run(CONTROL_HOST_RETENTION_SECONDS + 2.0)
+    for name in network.entry_names:
+        assert len(network.known_servers(name)) == SERVERS_PER_ENTRY_HOST * 6 * 2 / 3
+    network.controls[lost] = network.start_control(lost)
+    network.run(3.0)
+    for name in network.entry_names:
+        assert len(network.known_servers(name)) == SERVERS_PER_ENTRY_HOST * 6
+
+
+def test_a_host_that_hears_no_control_host_keeps_every_server():
+    network = deployment_at_rest(3, 3, 6)
+    network.controls.clear()
+    network.run(CONTROL_HOST_RETENTION_SECONDS + 5.0)
+    for name in network.entry_names:
+        assert len(network.known_servers(name)) == SERVERS_PER_ENTRY_HOST * 6
+
+
+def test_a_relay_forgets_servers_that_left_long_ago():
+    network = deployment_at_rest(3, 3, 3)
+    network.drain_server(0)
+    network.run(0.5)
+    owner = network.controls[network.control_names[0]]
+    owner.deregister("i-1")
+    network.stop_server(0)
+    network.run(HEARTBEAT_RETENTION_SECONDS + 2 * EVICTION_INTERVAL_SECONDS)
+    for control in network.controls.values():
+        for source in control._relayed.sources:
+            assert source.log.get("i-1") is None
