--- a/src/kingcuppulley/control/journal.py
+++ b/src/kingcuppulley/control/journal.py
@@ -51,6 +51,7 @@
         self._path = folder / _JOURNAL
         self._file: int | None = None
         self._size_bytes = 0
+        self._has_failed_tail = False
 
     @property
     def size_bytes(self) -> int:
@@ -82,6 +83,10 @@
     def append(self, records: Iterable[bytes]) -> None:
         """Write and sync records; on failure, truncate to the previous size."""
         data = b"".join(_frame(record) for record in records)
+        if self._has_failed_tail:
+            # Behind part of an earlier record, these could not be read back.
+            self._truncate(self._size_bytes)
+            self._has_failed_tail = False
         try:
             descriptor = self._open()
             _write_all(descriptor, data)
@@ -104,12 +109,15 @@
             finally:
                 os.close(descriptor)
             os.replace(new_path, self._path)
+            # From here on the open file is the one that was replaced; the next append
+            # opens the new one and syncs the folder again.
+            self.close()
+            self._size_bytes = len(data)
+            self._has_failed_tail = False
             sync_folder(self._folder)
         except OSError as error:
             reason = error.strerror or "the write failed"
             raise StorageError(str(self._path), reason) from error
-        self.close()
-        self._size_bytes = len(data)
 
     def close(self) -> None:
         """Close the file; the next append opens it again."""
@@ -144,10 +152,13 @@
         # clean.  The descriptor is therefore not used again: the next append opens the
         # file anew.
         self.close()
+        self._has_failed_tail = True
         try:
             self._truncate(self._size_bytes)
-        except (OSError, StorageError):
-            pass
+        except StorageError:
+            # The next append truncates first, or fails.
+            return
+        self._has_failed_tail = False
 
     def _truncate(self, size_bytes: int) -> None:
         try:
--- a/src/kingcuppulley/control/replica.py
+++ b/src/kingcuppulley/control/replica.py
@@ -161,6 +161,9 @@
         self._subscriber.tick(now)
         self._confirm_accepted(now)
         for pending in self._pending:
+            if pending.round.is_done:
+                # Its answer or failure was reported when it ended.
+                continue
             if pending.round.has_expired(now):
                 pending.on_failure(NotEnoughControlHostsError(pending.round.key))
             else:
--- a/src/kingcuppulley/platform/settings.py
+++ b/src/kingcuppulley/platform/settings.py
@@ -14,6 +14,7 @@
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 METRICS_PORT = 9464
+_MAXIMUM_PORT = 65_535
 SETTINGS_FILE_VARIABLE = "KINGCUPPULLEY_CONFIG"
 
 
@@ -113,9 +114,35 @@
         except msgspec.ValidationError as error:
             remedy = f"{error}; correct it"
             faults.append(SettingsError(file, field.name, value, remedy))
+    if not faults:
+        faults.extend(_find_address_faults(file, msgspec.convert(data, _Settings)))
     return faults
 
 
+def _find_address_faults(file: str, settings: _Settings) -> list[SettingsError]:
+    addresses = [("seeds", seed) for seed in settings.seeds]
+    for field in msgspec.structs.fields(_Listen):
+        address = getattr(settings.listen, field.name)
+        if address:
+            addresses.append((f"listen.{field.name}", address))
+    faults = [
+        SettingsError(file, key, address, "write it as ADDRESS:PORT, port 1 to 65535")
+        for key, address in addresses
+        if not _is_address(address)
+    ]
+    for port in settings.internal_ports:
+        if not 0 < port <= _MAXIMUM_PORT:
+            remedy = "use ports from 1 to 65535"
+            faults.append(SettingsError(file, "internal_ports", port, remedy))
+    return faults
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= _MAXIMUM_PORT
+    return bool(host) and is_port
+
+
 def _single_fault(file: str, key: str, value: object, remedy: str) -> SettingsFaults:
     fault = SettingsError(file, key, value, remedy)
     return SettingsFaults(f"{file} has faults", [fault])
--- a/src/kingcuppulley/settings.py
+++ b/src/kingcuppulley/settings.py
@@ -62,6 +62,10 @@
     port: Port
 
 
+# A change needs a majority of all of them, so that more make each change slower.
+MAXIMUM_CONTROL_HOSTS = 7
+
+
 class TraceSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Set the file to which spans are written; with an empty name, none are written."""
 
@@ -118,8 +122,11 @@
     if settings is not None:
         names = [host.name for host in settings.control_hosts]
         faults.extend(_name_faults(file, "control_hosts", settings.name, names))
-        if len(names) % 2 == 0:
-            remedy = f"{len(names)} hosts are listed; list an odd number, at most 7"
+        if len(names) % 2 == 0 or len(names) > MAXIMUM_CONTROL_HOSTS:
+            remedy = (
+                f"{len(names)} hosts are listed; list an odd number, at most "
+                f"{MAXIMUM_CONTROL_HOSTS}"
+            )
             faults.append(SettingsError(str(file), "control_hosts", names, remedy))
     if settings is None or faults:
         raise SettingsFaults(f"{file} has faults", faults)
@@ -131,14 +138,13 @@
 ) -> tuple[Settings | None, list[SettingsError]]:
     faults: list[SettingsError] = []
     try:
-        data = tomllib.loads(file.read_text())
+        data = tomllib.loads(file.read_text(encoding="utf-8"))
     except OSError as error:
         remedy = "the file cannot be read; check its path and permissions"
         return None, [SettingsError(str(file), "file", error.strerror, remedy)]
-    except tomllib.TOMLDecodeError as error:
-        return None, [
-            SettingsError(str(file), "file", str(error), "correct the TOML syntax")
-        ]
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        remedy = "write valid TOML, encoded as UTF-8"
+        return None, [SettingsError(str(file), "file", str(error), remedy)]
     _check_struct(str(file), "", data, settings_type, faults)
     if faults:
         return None, faults
--- a/tests/cover/test_control_hosts.py
+++ b/tests/cover/test_control_hosts.py
@@ -2,6 +2,7 @@
 
 from kingcuppulley.control.acceptor import ReplicaState
 from kingcuppulley.control.registers import ChangeOutcome
+from kingcuppulley.control.round import CHANGE_TIMEOUT_SECONDS
 from kingcuppulley.errors import (
     NotEnoughControlHostsError,
     NotVotingError,
@@ -239,3 +240,14 @@
     cluster.run(5.0)
     assert len(cluster.voting()) == 5
     assert cluster.submit_and_wait("control-1", 1).version == 2
+
+
+def test_a_change_that_was_answered_is_not_reported_as_failed_too():
+    """The next tick may come after the deadline of the change."""
+    cluster = Cluster()
+    cluster.run(1.0)
+    cluster.submit("control-1", 0)
+    cluster.network.deliver_all()
+    assert len(cluster.answers) == 1
+    cluster.tick(2 * CHANGE_TIMEOUT_SECONDS)
+    assert cluster.failures == []
--- a/tests/cover/test_journal.py
+++ b/tests/cover/test_journal.py
@@ -128,3 +128,53 @@
     assert restarted.chosen == acceptor.chosen
     assert restarted.accepted_entries() == acceptor.accepted_entries()
     assert (restarted.votes, restarted.boot) == (acceptor.votes, acceptor.boot + 1)
+
+
+def test_records_after_a_rewrite_whose_folder_was_not_synced_are_kept(
+    tmp_path, monkeypatch
+):
+    """After the rename, appends must not go to the file that was replaced."""
+    write_journal(tmp_path)
+    journal = FileJournal(tmp_path)
+    list(journal.read())
+    journal.append([b"before"])
+
+    def fail(_):
+        raise OSError(errno.EIO, "injected failure")
+
+    monkeypatch.setattr("kingcuppulley.control.journal.sync_folder", fail)
+    with pytest.raises(StorageError):
+        journal.rewrite([b"rewritten"])
+    monkeypatch.undo()
+    journal.append([b"after"])
+    journal.close()
+    assert list(FileJournal(tmp_path).read()) == [b"rewritten", b"after"]
+
+
+def test_records_after_a_failed_append_that_was_not_truncated_are_kept(
+    tmp_path, monkeypatch
+):
+    """Part of a record may stay in the file; later records must not follow it."""
+    write_journal(tmp_path)
+    journal = FileJournal(tmp_path)
+    list(journal.read())
+    write = os.write
+
+    def write_half(descriptor, data):
+        write(descriptor, bytes(data)[: len(data) // 2])
+        raise OSError(errno.ENOSPC, "injected failure")
+
+    def fail(*_):
+        raise OSError(errno.EIO, "injected failure")
+
+    monkeypatch.setattr(os, "write", write_half)
+    monkeypatch.setattr(os, "truncate", fail)
+    with pytest.raises(StorageError):
+        journal.append([b"lost record"])
+    monkeypatch.setattr(os, "write", write)
+    with pytest.raises(StorageError):
+        journal.append([b"refused while the tail is there"])
+    monkeypatch.undo()
+    journal.append([b"after"])
+    journal.close()
+    assert list(FileJournal(tmp_path).read()) == [*RECORDS, b"after"]
--- a/tests/cover/test_settings_and_templates.py
+++ b/tests/cover/test_settings_and_templates.py
@@ -17,6 +17,7 @@
     render_account,
 )
 from kingcuppulley.settings import (
+    MAXIMUM_CONTROL_HOSTS,
     SettingsFaults,
     load_control_settings,
     load_entry_settings,
@@ -103,6 +104,28 @@
     assert fault.key == "control_hosts" and "odd number" in str(fault)
 
 
+def test_more_control_hosts_than_the_maximum_are_refused(tmp_path):
+    text = (SAMPLES / "control-1.toml").read_text()
+    for number in range(4, MAXIMUM_CONTROL_HOSTS + 3):
+        text += f'\n[[control_hosts]]\nname = "control-{number}"\n'
+        text += f'host = "127.1.0.{number + 10}"\nport = 7100\n'
+    file = tmp_path / "control.toml"
+    file.write_text(text)
+    with pytest.raises(SettingsFaults) as error_info:
+        load_control_settings(file)
+    (fault,) = error_info.value.exceptions
+    assert fault.key == "control_hosts" and "at most 7" in str(fault)
+
+
+def test_a_settings_file_that_is_not_utf_8_is_refused(tmp_path):
+    file = tmp_path / "control.toml"
+    file.write_bytes(b'name = "\xff"')
+    with pytest.raises(SettingsFaults) as error_info:
+        load_control_settings(file)
+    (fault,) = error_info.value.exceptions
+    assert "UTF-8" in str(fault)
+
+
 @pytest.mark.parametrize(
     ("parameter", "value", "remedy"),
     [
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -69,3 +69,20 @@
     with pytest.raises(SettingsFaults) as caught:
         load_settings(str(file))
     assert "valid TOML" in str(caught.value.exceptions[0])
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ('"10.1.0.10:8172"', '"10.1.0.10:many"', "listen.packet_addr"),
+        ('"10.1.0.10:8167"', '"8167"', "listen.ready"),
+        ('"10.2.0.43:8166"', '"10.2.0.43:70000"', "seeds"),
+        ("[7720, 7735]", "[0, 7735]", "internal_ports"),
+    ],
+)
+def test_an_address_without_a_valid_port_is_refused(tmp_path, old, new, key):
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS.replace(old, new))
+    with pytest.raises(SettingsFaults) as caught:
+        load_settings(str(file))
+    assert [fault.key for fault in caught.value.exceptions] == [key]
