--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -176,7 +176,11 @@
         A packet whose cookie is unknown here too is dropped, so that no packet loops
         between hosts.
         """
-        header = self._packet_format.read(packet)
+        try:
+            header = self._packet_format.read(packet)
+        except MalformedPacketError:
+            self._counts["packets_malformed"] += 1
+            return
         target = self._registry.by_cookie(header.cookie)
         if target is None:
             self._drop_unknown(header)
--- a/src/kingcuppulley/platform/documents.py
+++ b/src/kingcuppulley/platform/documents.py
@@ -20,6 +20,15 @@
 
 READY_PATH = b"/kingcuppulley/ready"
 _MAXIMUM_PORT = 65_535
+# Largest value of numbers that processes exchange in 64 bits.
+_MAXIMUM_NUMBER = (1 << 63) - 1
+_MAXIMUM_SLOTS = 1_000_000
+# Longest name of a server, service or zone.  The servers of an update must fit one
+# datagram.
+_MAXIMUM_NAME_BYTES = 64
+# Longest cold start that a server can report.
+_MAXIMUM_COLD_MS = 86_400_000.0
+_HEXADECIMAL_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
 class _Share(msgspec.Struct):
@@ -86,8 +95,8 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         remedy = f"{error}; send the complete configuration as JSON"
         raise InvalidConfigurationError("body", remedy) from error
-    if decoded.version < 1:
-        raise InvalidConfigurationError("version", "use a version of 1 or higher")
+    if not 0 < decoded.version <= _MAXIMUM_NUMBER:
+        raise InvalidConfigurationError("version", "use a version from 1 to 2**63 - 1")
     service_names = {service.name for service in decoded.services}
     routes = tuple(_build_route(route, service_names) for route in decoded.routes)
     route_keys = {route.key for route in routes}
@@ -115,10 +124,7 @@
     if state is None:
         raise InvalidHeartbeatError("state", "use ready or draining")
     host, port = _parse_address(decoded.addr)
-    if decoded.slots < 1 or decoded.seq < 0 or not decoded.service:
-        raise InvalidHeartbeatError(
-            "slots", "name a service, and use at least 1 slot and a seq of 0 or higher"
-        )
+    _check_heartbeat(name, decoded)
     return Heartbeat(
         name,
         packet_identity_of(name),
@@ -134,18 +140,37 @@
     )
 
 
+def _check_heartbeat(name: str, heartbeat: _Heartbeat) -> None:
+    """Raise `InvalidHeartbeatError` for a value that other processes cannot take."""
+    for field, text in (
+        ("id", name),
+        ("service", heartbeat.service),
+        ("zone", heartbeat.zone),
+    ):
+        if not 0 < len(text.encode()) <= _MAXIMUM_NAME_BYTES:
+            remedy = f"use 1 to {_MAXIMUM_NAME_BYTES} bytes"
+            raise InvalidHeartbeatError(field, remedy)
+    for field, number in (("seq", heartbeat.seq), ("born", heartbeat.born)):
+        if not 0 <= number <= _MAXIMUM_NUMBER:
+            raise InvalidHeartbeatError(field, "use a number from 0 to 2**63 - 1")
+    if not 0 < heartbeat.slots <= _MAXIMUM_SLOTS:
+        remedy = f"use 1 to {_MAXIMUM_SLOTS} slots"
+        raise InvalidHeartbeatError("slots", remedy)
+    if not heartbeat.warmup_left_ms <= _MAXIMUM_COLD_MS:
+        raise InvalidHeartbeatError("warmup_left_ms", "use a day at most")
+
+
 def packet_identity_of(name: str) -> bytes:
     """Return the 8 bytes that identify a server in the packets sent to it.
 
     They hold the hexadecimal number after the last hyphen of the server's name.
     """
     digits = name.rpartition("-")[2]
-    try:
-        number = int(digits, 16)
-    except ValueError as error:
-        raise InvalidHeartbeatError(
-            "id", "end the name in hexadecimal digits"
-        ) from error
+    # `int` also takes prefixes and underscores, by which two names would get one
+    # identity.
+    if not digits or not _HEXADECIMAL_DIGITS.issuperset(digits):
+        raise InvalidHeartbeatError("id", "end the name in hexadecimal digits")
+    number = int(digits, 16)
     if not 0 < number < 1 << 64:
         raise InvalidHeartbeatError("id", "use 1 to 16 hexadecimal digits, not all 0")
     return number.to_bytes(8, "big")
@@ -189,7 +214,7 @@
 def _build_route_key(route: _Route) -> bytes:
     try:
         address = socket.inet_pton(socket.AF_INET, route.host)
-        port = int(route.path_prefix.strip("/"))
+        port = _parse_digits(route.path_prefix.strip("/"))
     except (OSError, ValueError) as error:
         raise InvalidConfigurationError(
             f"route {route.name}",
@@ -206,9 +231,16 @@
     host, _, port = text.rpartition(":")
     try:
         socket.inet_pton(socket.AF_INET, host)
-        number = int(port)
+        number = _parse_digits(port)
     except (OSError, ValueError) as error:
         raise InvalidHeartbeatError("addr", "write it as ADDRESS:PORT") from error
     if not 0 < number <= _MAXIMUM_PORT:
         raise InvalidHeartbeatError("addr", "use a port from 1 to 65535")
     return host, number
+
+
+def _parse_digits(text: str) -> int:
+    """Return the number in a text of ASCII digits, or raise `ValueError`."""
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError(f"{text!r} has characters other than digits")
+    return int(text)
