Split the choice of servers from placement, and load reports from the entry host

Change: fabric/server_choice.py holds the loads and chooses, fabric/placement.py keeps flows and queues; entry_hosts/load_reporter.py sends the reports. No behaviour changes; tests name the new places.

--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -16,6 +16,7 @@
 from kingcuppulley.entry_hosts.control_follower import ControlFollower
 from kingcuppulley.entry_hosts.coordinator_table import CoordinatorTable
 from kingcuppulley.entry_hosts.flow_log import FlowLog, KnownState
+from kingcuppulley.entry_hosts.load_reporter import LoadReporter
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlUpdate,
     FetchHostList,
@@ -40,11 +41,6 @@
 from kingcuppulley.operators.routing import RoutingConfiguration, RoutingTable
 
 SUBSCRIPTION_INTERVAL_SECONDS = 0.25
-LOAD_REPORT_INTERVAL_SECONDS = 0.1
-# With many coordinators a host reports less often, but well within the validity of a
-# report.
-MAXIMUM_LOAD_REPORTS_PER_SECOND = 80
-MAXIMUM_LOAD_REPORT_INTERVAL_SECONDS = 0.2
 FETCH_RETRY_INTERVAL_SECONDS = 0.15
 COLD_START_MARGIN_SECONDS = 0.5
 
@@ -98,7 +94,6 @@
         self._state_fetch_deadline = 0.0
         self._host_list_deadlines: dict[int, float] = {}
         self._subscription_deadline = 0.0
-        self._report_deadline = 0.0
         self._is_leaving = False
         self._has_left = False
         self._now = 0.0
@@ -111,7 +106,10 @@
             generator,
             lambda *released: self._router.flow_released(*released),
         )
-        self._placement.set_cold_start_filter(self._may_place_on_cold)
+        self._placement.choice.set_cold_start_filter(self._may_place_on_cold)
+        self._load_reporter = LoadReporter(
+            address, zone, self._coordinators, self._placement.choice, send
+        )
         self._router = CookieRouter(
             address,
             zone,
@@ -188,7 +186,9 @@
                 self._router.flow_ended(message, now)
             case LoadReport():
                 self._coordinators.record_load_report(message.zone, now)
-                self._placement.update_reported_loads(address, message.loads, now)
+                self._placement.choice.update_reported_loads(
+                    address, message.loads, now
+                )
             case RelayedUpdate():
                 self._apply_relayed_updates(message, now)
             case ControlUpdate():
@@ -215,8 +215,9 @@
                 self._subscribe(host)
             self._handle_lost_control_hosts(now)
             self._log_changed_targets(self._registry.tick(now))
-        if now >= self._report_deadline:
-            self._send_load_reports(now)
+        if self._load_reporter.is_due(now):
+            self._update_placement_zones(now)
+            self._load_reporter.send(self._routing_table.service_names(), now)
 
     def _change_relay(self, now: float) -> None:
         """Follow another control host if that is better now."""
@@ -409,7 +410,7 @@
                 target.cold_deadline = max(target.cold_deadline, deadline)
 
     def _update_placement_zones(self, now: float) -> None:
-        self._placement.update_zones(
+        self._placement.choice.update_zones(
             self._zones_out, self._coordinators.unreachable_zones(now)
         )
 
@@ -426,48 +427,8 @@
             self._subscription_deadline = self._now
 
     def _may_place_on_cold(self, target: RegisteredTarget) -> bool:
-        share = self._placement.shares.share_of_server(target)
+        share = self._placement.choice.shares.share_of_server(target)
         coordinator = self._coordinators.coordinator(
             target.zone, target.service, self._now, share
         )
         return coordinator == self._address
-
-    def _send_load_reports(self, now: float) -> None:
-        self._update_placement_zones(now)
-        loads_by_service = self._placement.own_loads()
-        loads_by_recipient: dict[str, list[tuple[int, int]]] = {}
-        for service in self._routing_table.service_names():
-            loads = loads_by_service.get(service, [])
-            for recipient in self._report_recipients(service, bool(loads), now):
-                loads_by_recipient.setdefault(recipient, []).extend(loads)
-        for recipient, loads in loads_by_recipient.items():
-            self._send(recipient, LoadReport(self._zone, loads))
-        interval = len(loads_by_recipient) / MAXIMUM_LOAD_REPORTS_PER_SECOND
-        interval = min(MAXIMUM_LOAD_REPORT_INTERVAL_SECONDS, interval)
-        self._report_deadline = now + max(LOAD_REPORT_INTERVAL_SECONDS, interval)
-
-    def _report_recipients(self, service: str, has_loads: bool, now: float) -> set[str]:
-        """Return the coordinators that may use a server that this host places on."""
-        shares = self._placement.shares
-        own_shares = range(shares.count(self._zone, service))
-        own_coordinators = [
-            self._coordinators.coordinator(self._zone, service, now, share)
-            for share in own_shares
-        ]
-        coordinated = [
-            share for share in own_shares if own_coordinators[share] == self._address
-        ]
-        if not coordinated and not has_loads:
-            return set()
-        recipients = set(own_coordinators)
-        for zone in self._coordinators.other_zones():
-            share_count = shares.count(zone, service)
-            for share in {share % share_count for share in coordinated or (0,)}:
-                recipients.add(
-                    self._coordinators.coordinator(zone, service, now, share)
-                )
-        return {
-            address
-            for address in recipients
-            if address is not None and address != self._address
-        }
--- a/src/kingcuppulley/experiments/seeded_capacity.py
+++ b/src/kingcuppulley/experiments/seeded_capacity.py
@@ -17,10 +17,8 @@
     RELAY_SUBSCRIPTION_INTERVAL_SECONDS,
 )
 from kingcuppulley.control.seeded_host import COMPRESSION_LEVEL
-from kingcuppulley.entry_hosts.seeded_host import (
-    LOAD_REPORT_INTERVAL_SECONDS,
-    SUBSCRIPTION_INTERVAL_SECONDS,
-)
+from kingcuppulley.entry_hosts.load_reporter import LOAD_REPORT_INTERVAL_SECONDS
+from kingcuppulley.entry_hosts.seeded_host import SUBSCRIPTION_INTERVAL_SECONDS
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlUpdate,
     EntryHostInfo,
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -271,7 +271,9 @@
             packet,
         )
         request = self._build_request(message, self._address, now)
-        share = self._placement.shares.share_of_flow(self._zone, service, header.flow)
+        share = self._placement.choice.shares.share_of_flow(
+            self._zone, service, header.flow
+        )
         coordinator = self._coordinators.coordinator(self._zone, service, now, share)
         if coordinator is None or coordinator == self._address:
             self._flow_records[header.flow] = _FlowRecord(self._address, now)
--- /dev/null
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -0,0 +1,303 @@
+"""Choose a backend server by rank and load, among those that a flow may use."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from random import Random
+
+from kingcuppulley.backend_servers.target_registry import (
+    RegisteredTarget,
+    TargetRegistry,
+)
+from kingcuppulley.fabric.flow_queue import FlowRequest
+from kingcuppulley.fabric.server_index import (
+    MAXIMUM_TIE_BREAK_COST,
+    ServerIndex,
+    load_cost,
+)
+from kingcuppulley.fabric.server_load import ServerLoad
+from kingcuppulley.fabric.service_shares import ServiceShares
+
+LOAD_REPORT_VALIDITY_SECONDS = 0.5
+COLD_SERVER_MINIMUM_INTERVAL_SECONDS = 0.6
+UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS = 0.25
+ZONE_ANSWER_VALIDITY_SECONDS = 1.0
+# Flows that a server may have beyond its slots, for each slot.
+MAXIMUM_SERVER_QUEUE_PER_SLOT = 1
+# Age of an index of servers after which it is built again: cold starts and suspicions
+# end without notice.
+INDEX_VALIDITY_SECONDS = 0.25
+# The same if the registry has changed since.
+CHANGED_INDEX_VALIDITY_SECONDS = 0.05
+LOAD_EVICTION_INTERVAL_SECONDS = 10.0
+
+
+class _ReportedLoads:
+    """Hold the open flows per server that another host reported, and until when."""
+
+    __slots__ = ("flows", "deadline")
+
+    def __init__(self) -> None:
+        self.flows: dict[int, int] = {}
+        self.deadline = 0.0
+
+
+# Servers are compared by rank first and by cost second; the lowest rank is the best.
+# A server of an unreachable zone still gets a flow at most every
+# `UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS`, to detect whether only the entry hosts of
+# the zone have failed.
+_UNREACHABLE_ZONE_RANK = 3
+_COLD_RANK = 2
+_SUSPECT_RANK = 1
+
+
+class ServerChoice:
+    """Hold the load of each backend server, and choose the best one for a flow."""
+
+    def __init__(self, zone: str, registry: TargetRegistry, generator: Random) -> None:
+        self._zone = zone
+        self._registry = registry
+        self._generator = generator
+        self._loads: dict[int, ServerLoad] = {}
+        self._reports: dict[str, _ReportedLoads] = {}
+        self._shares = ServiceShares(registry)
+        # By service and share.
+        self._indexes: dict[str, dict[int, ServerIndex]] = {}
+        self._eviction_deadline = 0.0
+        self._zone_answered_at: dict[str, float] = {}
+        self._zones_out: frozenset[str] = frozenset()
+        self._unreachable_zones: frozenset[str] = frozenset()
+        self._may_place_on_cold: Callable[[RegisteredTarget], bool] = lambda _: True
+
+    @property
+    def shares(self) -> ServiceShares:
+        """Return the shares into which the servers are divided."""
+        return self._shares
+
+    @property
+    def open_count(self) -> int:
+        """Return how many flows of this host are counted as open."""
+        return sum(load.own_flows for load in self._loads.values())
+
+    def update_zones(
+        self, out_of_service: frozenset[str], unreachable: frozenset[str]
+    ) -> None:
+        """Update the zones that are out of service and those that are unreachable."""
+        if (out_of_service, unreachable) != (self._zones_out, self._unreachable_zones):
+            self._indexes.clear()
+        self._zones_out = out_of_service
+        self._unreachable_zones = unreachable
+
+    def set_cold_start_filter(
+        self, may_place_on_cold: Callable[[RegisteredTarget], bool]
+    ) -> None:
+        """Set the rule for which cold servers this host may place flows on."""
+        self._may_place_on_cold = may_place_on_cold
+
+    def own_loads(self) -> dict[str, list[tuple[int, int]]]:
+        """Return the cookie and open flows of each server that this host uses.
+
+        They are grouped by service; servers that are no longer registered are left out.
+        """
+        loads: dict[str, list[tuple[int, int]]] = {}
+        for cookie, load in self._loads.items():
+            target = self._registry.by_cookie(cookie) if load.own_flows else None
+            if target is not None:
+                loads.setdefault(target.service, []).append((cookie, load.own_flows))
+        return loads
+
+    def update_reported_loads(
+        self, host: str, loads: list[tuple[int, int]], now: float
+    ) -> None:
+        """Replace the open flows per server that another host reported.
+
+        A report counts for `LOAD_REPORT_VALIDITY_SECONDS`.
+        """
+        report = self._reports.get(host)
+        if report is None:
+            report = self._reports[host] = _ReportedLoads()
+        report.deadline = now + LOAD_REPORT_VALIDITY_SECONDS
+        self._replace_report(report, dict(loads))
+
+    def load(self, cookie: int) -> ServerLoad:
+        """Return the load of a server."""
+        load = self._loads.get(cookie)
+        if load is None:
+            load = self._loads[cookie] = ServerLoad()
+        return load
+
+    def change_flows(self, target: RegisteredTarget, difference: int) -> None:
+        """Count more or fewer open flows of this host on a server."""
+        load = self.load(target.cookie)
+        load.own_flows += difference
+        self._move_in_indexes(target, load)
+
+    def limit_placements(self, target: RegisteredTarget, now: float) -> None:
+        """Delay the next flow of a server that is cold or in an unreachable zone."""
+        load = self.load(target.cookie)
+        if now < target.cold_deadline:
+            load.next_placement_at = now + COLD_SERVER_MINIMUM_INTERVAL_SECONDS
+        elif self._rank(target, load, now) == _UNREACHABLE_ZONE_RANK:
+            load.next_placement_at = now + UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS
+
+    def record_answer(
+        self, target: RegisteredTarget, seconds: float, now: float
+    ) -> None:
+        """Record that a server answered a flow in a time."""
+        self._zone_answered_at[target.zone] = now
+        self.load(target.cookie).record_duration(seconds)
+
+    def tick(self, now: float) -> None:
+        """Expire reports, and evict the loads of servers that are not registered."""
+        for host, report in list(self._reports.items()):
+            if now >= report.deadline:
+                self._replace_report(report, {})
+                del self._reports[host]
+        if now >= self._eviction_deadline:
+            self._eviction_deadline = now + LOAD_EVICTION_INTERVAL_SECONDS
+            self._evict_loads()
+
+    def choose(
+        self, request: FlowRequest, excluded_cookies: list[int] | tuple[()], now: float
+    ) -> tuple[RegisteredTarget | None, bool, int]:
+        """Return the best server, whether it has free capacity, and the total slots.
+
+        Servers of unreachable zones do not count towards the total slots.
+        """
+        service = request.service
+        share = self._shares.share_of_flow(self._zone, service, request.flow)
+        if not excluded_cookies:
+            index = self._index_of(service, share, now)
+            while (target := index.choose(self._generator)) is not None:
+                if self._is_usable(target, now):
+                    flows = self.load(target.cookie).total_flows
+                    return target, _has_capacity(target, flows), index.slots
+                index.remove(target.cookie)
+        return self._compare_all(service, share, excluded_cookies, now)
+
+    def _index_of(self, service: str, share: int, now: float) -> ServerIndex:
+        indexes = self._indexes.setdefault(service, {})
+        index = indexes.get(share)
+        if index is not None:
+            has_changed = index.registry_version != self._registry.version
+            validity_seconds = (
+                CHANGED_INDEX_VALIDITY_SECONDS
+                if has_changed
+                else INDEX_VALIDITY_SECONDS
+            )
+            if now < index.built_at + validity_seconds:
+                return index
+        index = indexes[share] = ServerIndex(self._registry.version, now)
+        for target in self._candidates(service, share):
+            load = self.load(target.cookie)
+            rank = self._rank(target, load, now)
+            if rank != _UNREACHABLE_ZONE_RANK:
+                index.slots += target.slots
+            if rank == 0:
+                is_own = self._is_own(target, share)
+                index.add(target, load.total_flows, is_own=is_own)
+        return index
+
+    def _candidates(self, service: str, share: int) -> Iterator[RegisteredTarget]:
+        """Return the servers in service that the flows of a share may use."""
+        for target in self._registry.of_service(service):
+            if (
+                target.is_eligible
+                and target.zone not in self._zones_out
+                and self._shares.is_candidate(target, self._zone, service, share)
+            ):
+                yield target
+
+    def _is_own(self, target: RegisteredTarget, share: int) -> bool:
+        return (
+            target.zone == self._zone and self._shares.share_of_server(target) == share
+        )
+
+    def _is_usable(self, target: RegisteredTarget, now: float) -> bool:
+        """Return whether any flow may use a server now."""
+        return (
+            target.is_eligible
+            and target.zone not in self._zones_out
+            and self._registry.by_cookie(target.cookie) is target
+            and self._rank(target, self.load(target.cookie), now) == 0
+        )
+
+    def _compare_all(
+        self,
+        service: str,
+        share: int,
+        excluded_cookies: list[int] | tuple[()],
+        now: float,
+    ) -> tuple[RegisteredTarget | None, bool, int]:
+        """Choose as `choose` does, among the servers of every rank."""
+        best: RegisteredTarget | None = None
+        # Worse than any rank.
+        best_key = (9, 0.0)
+        best_has_capacity = False
+        slots = 0
+        for target in self._candidates(service, share):
+            load = self.load(target.cookie)
+            rank = self._rank(target, load, now)
+            if rank != _UNREACHABLE_ZONE_RANK:
+                slots += target.slots
+            if target.cookie in excluded_cookies or not self._may_use(
+                target, rank, load, now
+            ):
+                continue
+            flows = load.total_flows
+            tie_break_cost = MAXIMUM_TIE_BREAK_COST * self._generator.random()
+            is_own = self._is_own(target, share)
+            cost = load_cost(target, flows, is_own=is_own) + tie_break_cost
+            if (rank, cost) < best_key:
+                best = target
+                best_key = (rank, cost)
+                best_has_capacity = _has_capacity(target, flows)
+        return best, best_has_capacity, slots
+
+    def _rank(self, target: RegisteredTarget, load: ServerLoad, now: float) -> int:
+        if target.zone in self._unreachable_zones:
+            answered_at = self._zone_answered_at.get(target.zone, float("-inf"))
+            if now - answered_at > ZONE_ANSWER_VALIDITY_SECONDS:
+                return _UNREACHABLE_ZONE_RANK
+        if now < target.cold_deadline:
+            return _COLD_RANK
+        if now < load.suspicion_deadline:
+            return _SUSPECT_RANK
+        return 0
+
+    def _may_use(
+        self, target: RegisteredTarget, rank: int, load: ServerLoad, now: float
+    ) -> bool:
+        if rank < _COLD_RANK:
+            return True
+        if now < load.next_placement_at:
+            return False
+        return rank != _COLD_RANK or self._may_place_on_cold(target)
+
+    def _evict_loads(self) -> None:
+        """Evict the loads of servers that are no longer registered."""
+        for cookie, load in list(self._loads.items()):
+            if load.total_flows == 0 and self._registry.by_cookie(cookie) is None:
+                del self._loads[cookie]
+
+    def _replace_report(self, report: _ReportedLoads, flows: dict[int, int]) -> None:
+        for cookie in report.flows.keys() | flows.keys():
+            difference = flows.get(cookie, 0) - report.flows.get(cookie, 0)
+            if difference:
+                self._change_reported_flows(cookie, difference)
+        report.flows = flows
+
+    def _change_reported_flows(self, cookie: int, difference: int) -> None:
+        load = self.load(cookie)
+        load.reported_flows += difference
+        target = self._registry.by_cookie(cookie)
+        if target is not None:
+            self._move_in_indexes(target, load)
+
+    def _move_in_indexes(self, target: RegisteredTarget, load: ServerLoad) -> None:
+        for index in self._indexes.get(target.service, {}).values():
+            index.move(target.cookie, load.total_flows)
+
+
+def _has_capacity(target: RegisteredTarget, flows: int) -> bool:
+    return flows < target.slots * (1 + MAXIMUM_SERVER_QUEUE_PER_SLOT)
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -359,7 +359,7 @@
         host.packet(f"flow-{number} open 0")
         number += 1
     for server in host.registry.targets:
-        host.placement.update_reported_loads("other", [(server.cookie, 50)], 0.2)
+        host.placement.choice.update_reported_loads("other", [(server.cookie, 50)], 0.2)
     host.router.tick(0.5)
     assert host.metrics.counts["flows_expired"] == 1
     assert host.sent.to_callers == []
--- a/tests/cover/test_long_flows.py
+++ b/tests/cover/test_long_flows.py
@@ -211,4 +211,4 @@
 
 
 def own_flows(host: Host, cookie: int) -> int:
-    return host.placement._load(cookie).own_flows
+    return host.placement.choice.load(cookie).own_flows
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -11,11 +11,8 @@
     UNUSED_TARGET_RETENTION_SECONDS,
 )
 from kingcuppulley.fabric.flow_queue import REFUSAL_WINDOW_SECONDS, FlowRequest
-from kingcuppulley.fabric.placement import (
-    COLD_SERVER_MINIMUM_INTERVAL_SECONDS,
-    Placement,
-    PlacementOutcome,
-)
+from kingcuppulley.fabric.placement import Placement, PlacementOutcome
+from kingcuppulley.fabric.server_choice import COLD_SERVER_MINIMUM_INTERVAL_SECONDS
 from tests.seeded_fakes import (
     OBJECTIVE_SECONDS,
     LoadRun,
@@ -138,7 +135,7 @@
     )
     registry.tick(2 * UNUSED_TARGET_RETENTION_SECONDS)
     placement.tick(2 * UNUSED_TARGET_RETENTION_SECONDS)
-    assert target.cookie not in placement._loads
+    assert target.cookie not in placement.choice._loads
 
 
 def test_servers_of_the_own_zone_are_preferred():
@@ -162,7 +159,7 @@
 
 def test_a_zone_that_is_out_of_service_gets_no_flows():
     placement = placement_of(registry_of({"zone-a": 2, "zone-b": 1}))
-    placement.update_zones(frozenset({"zone-a"}), frozenset())
+    placement.choice.update_zones(frozenset({"zone-a"}), frozenset())
     for number in range(3):
         target = placement.open_flow(request(b"%d" % number), 0.0).target
         assert target is None or target.zone == "zone-b"
@@ -171,7 +168,7 @@
 def test_an_unreachable_zone_is_used_only_if_there_is_no_other():
     registry = registry_of({"zone-a": 1, "zone-b": 4})
     placement = placement_of(registry)
-    placement.update_zones(frozenset(), frozenset({"zone-b"}))
+    placement.choice.update_zones(frozenset(), frozenset({"zone-b"}))
     target = placement.open_flow(request(b"1"), 0.0).target
     assert target is not None
     assert target.zone == "zone-a"
@@ -227,8 +224,8 @@
     now = 0.0
     while now + TICK_SECONDS < REFUSAL_WINDOW_SECONDS:
         now += TICK_SECONDS
-        for target in placement._registry.targets:
-            placement.update_reported_loads("other", [(target.cookie, 50)], now)
+        for target in placement.choice._registry.targets:
+            placement.choice.update_reported_loads("other", [(target.cookie, 50)], now)
         placement.tick(now)
     assert [decision.outcome for _, decision, _ in released] == [
         PlacementOutcome.REFUSED
@@ -276,7 +273,7 @@
     for target in registry.targets:
         target.cold_deadline = 100.0
     placement = placement_of(registry)
-    placement.set_cold_start_filter(lambda _: False)
+    placement.choice.set_cold_start_filter(lambda _: False)
     assert (
         placement.open_flow(request(b"1"), 0.0).outcome is not PlacementOutcome.PLACED
     )
@@ -286,14 +283,14 @@
     registry = registry_of({"zone-a": 2})
     busy, idle = registry.targets
     placement = placement_of(registry)
-    placement.update_reported_loads("other", [(busy.cookie, 3)], 0.0)
+    placement.choice.update_reported_loads("other", [(busy.cookie, 3)], 0.0)
     assert placement.open_flow(request(b"1"), 0.1).target is idle
 
 
 def test_pattern_an_isolated_zone_without_own_servers_refuses_at_once():
     """Flows are refused immediately, except for occasional probes of other zones."""
     placement = placement_of(registry_of({"zone-a": 2, "zone-b": 2}))
-    placement.update_zones(frozenset({"zone-a"}), frozenset({"zone-b"}))
+    placement.choice.update_zones(frozenset({"zone-a"}), frozenset({"zone-b"}))
     outcomes = []
     for number in range(100):
         decision = placement.open_flow(request(b"%d" % number), number * 0.01)
@@ -305,7 +302,7 @@
 def test_an_unreachable_zone_whose_servers_answer_is_used():
     """Only the zone's entry hosts have failed; its servers answer other zones."""
     placement = placement_of(registry_of({"zone-a": 2, "zone-b": 2}))
-    placement.update_zones(frozenset({"zone-a"}), frozenset({"zone-b"}))
+    placement.choice.update_zones(frozenset({"zone-a"}), frozenset({"zone-b"}))
     placed = 0
     for number in range(100):
         flow = b"%d" % number
--- a/tests/cover/test_server_index.py
+++ b/tests/cover/test_server_index.py
@@ -10,11 +10,8 @@
 from hypothesis import strategies as st
 
 from kingcuppulley.backend_servers.heartbeats import ServingState
-from kingcuppulley.fabric.placement import (
-    INDEX_VALIDITY_SECONDS,
-    Placement,
-    PlacementOutcome,
-)
+from kingcuppulley.fabric.placement import Placement, PlacementOutcome
+from kingcuppulley.fabric.server_choice import INDEX_VALIDITY_SECONDS
 from kingcuppulley.fabric.server_index import ServerIndex
 from tests.seeded_fakes import SERVICE, flow_request, heartbeat, registry_of
 
@@ -28,13 +25,13 @@
 
 
 def report(placement: Placement, flows: list[int], now: float) -> None:
-    targets = placement._registry.of_service(SERVICE)
+    targets = placement.choice._registry.of_service(SERVICE)
     loads = [
         (target.cookie, number)
         for target, number in zip(targets, flows, strict=False)
         if number
     ]
-    placement.update_reported_loads("other", loads, now)
+    placement.choice.update_reported_loads("other", loads, now)
 
 
 @settings(max_examples=60, deadline=None)
@@ -51,12 +48,12 @@
     draining: set[int],
 ):
     placement = placement_of(ZONES)
-    placement.update_zones(frozenset(out), frozenset(unreachable))
+    placement.choice.update_zones(frozenset(out), frozenset(unreachable))
     report(placement, flows, 0.0)
-    placement._index_of(SERVICE, 0, 0.0)
+    placement.choice._index_of(SERVICE, 0, 0.0)
     # These servers change after the index was built.
     zone_numbers = [zone for zone, number in ZONES.items() for _ in range(number)]
-    placement._registry.update(
+    placement.choice._registry.update(
         "control",
         "instance-1",
         2,
@@ -76,9 +73,9 @@
     by_index = Counter()
     by_comparison = Counter()
     for _ in range(samples):
-        target, has_capacity, _ = placement._choose(REQUEST, (), 0.01)
+        target, has_capacity, _ = placement.choice.choose(REQUEST, (), 0.01)
         by_index[target and target.name, has_capacity] += 1
-        target, has_capacity, _ = placement._compare_all(SERVICE, 0, (), 0.01)
+        target, has_capacity, _ = placement.choice._compare_all(SERVICE, 0, (), 0.01)
         by_comparison[target and target.name, has_capacity] += 1
     for choice in by_index | by_comparison:
         difference = abs(by_index[choice] - by_comparison[choice])
@@ -91,14 +88,14 @@
     generator = Random(1)
     for step in range(200):
         report(placement, [generator.randrange(6) for _ in range(100)], step * 0.01)
-        target, _, _ = placement._choose(REQUEST, (), step * 0.01)
+        target, _, _ = placement.choice.choose(REQUEST, (), step * 0.01)
         assert target is not None
         lowest = min(
-            placement._load(other.cookie).total_flows / other.slots
+            placement.choice.load(other.cookie).total_flows / other.slots
             + (0.8 if other.zone != "zone-a" else 0.0)
-            for other in placement._registry.of_service(SERVICE)
+            for other in placement.choice._registry.of_service(SERVICE)
         )
-        cost = placement._load(target.cookie).total_flows / target.slots + (
+        cost = placement.choice.load(target.cookie).total_flows / target.slots + (
             0.8 if target.zone != "zone-a" else 0.0
         )
         assert cost - lowest < 0.25
@@ -106,15 +103,15 @@
 
 def test_reported_flows_count_until_their_report_expires_and_each_only_once():
     placement = placement_of({"zone-a": 3})
-    target = placement._registry.of_service(SERVICE)[0]
-    placement.update_reported_loads("b1", [(target.cookie, 3)], 0.0)
-    placement.update_reported_loads("b1", [(target.cookie, 2)], 0.1)
-    placement.update_reported_loads("c1", [(target.cookie, 4)], 0.2)
-    assert placement._load(target.cookie).total_flows == 6
+    target = placement.choice._registry.of_service(SERVICE)[0]
+    placement.choice.update_reported_loads("b1", [(target.cookie, 3)], 0.0)
+    placement.choice.update_reported_loads("b1", [(target.cookie, 2)], 0.1)
+    placement.choice.update_reported_loads("c1", [(target.cookie, 4)], 0.2)
+    assert placement.choice.load(target.cookie).total_flows == 6
     placement.tick(0.61)
-    assert placement._load(target.cookie).total_flows == 4
-    placement.update_reported_loads("c1", [], 0.65)
-    assert placement._load(target.cookie).total_flows == 0
+    assert placement.choice.load(target.cookie).total_flows == 4
+    placement.choice.update_reported_loads("c1", [], 0.65)
+    assert placement.choice.load(target.cookie).total_flows == 0
 
 
 def test_pattern_many_servers_are_not_compared_for_each_flow():
@@ -124,19 +121,19 @@
     """
     placement = placement_of({"zone-a": 500, "zone-b": 1500})
     ranked = count()
-    rank = placement._rank
+    rank = placement.choice._rank
 
     def counting_rank(*arguments):
         next(ranked)
         return rank(*arguments)
 
-    placement._rank = counting_rank  # type: ignore[method-assign]
+    placement.choice._rank = counting_rank  # type: ignore[method-assign]
     flows = 1000
     flow_ids = (b"flow-%d" % number for number in count())
     own_flow_ids = (
         flow
         for flow in flow_ids
-        if placement.shares.share_of_flow("zone-a", SERVICE, flow) == 1
+        if placement.choice.shares.share_of_flow("zone-a", SERVICE, flow) == 1
     )
     for number in range(flows):
         now = number / flows
--- a/tests/cover/test_service_shares.py
+++ b/tests/cover/test_service_shares.py
@@ -84,7 +84,7 @@
     """A burst on one share must not be refused while other shares have capacity."""
     registry = registry_of({"zone-a": 2 * SERVERS_PER_SHARE})
     placement = Placement("zone-a", registry, Random(1), lambda *_: None)
-    shares = placement.shares
+    shares = placement.choice.shares
     placed = Counter()
     number = 0
     # Three flows for each server of the share: more than its two slots.
