--- a/src/kingcuppulley/experiments/seeded_capacity.py
+++ b/src/kingcuppulley/experiments/seeded_capacity.py
@@ -17,7 +17,11 @@
     RELAY_SUBSCRIPTION_INTERVAL_SECONDS,
 )
 from kingcuppulley.control.seeded_host import COMPRESSION_LEVEL
-from kingcuppulley.entry_hosts.load_reporter import LOAD_REPORT_INTERVAL_SECONDS
+from kingcuppulley.entry_hosts.load_reporter import (
+    LOAD_REPORT_INTERVAL_SECONDS,
+    MAXIMUM_LOAD_REPORT_INTERVAL_SECONDS,
+    MAXIMUM_LOAD_REPORTS_PER_SECOND,
+)
 from kingcuppulley.entry_hosts.seeded_host import SUBSCRIPTION_INTERVAL_SECONDS
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlUpdate,
@@ -33,6 +37,7 @@
     SubscribeToControl,
     SubscribeToRelay,
 )
+from kingcuppulley.fabric.service_shares import share_count
 
 IP_AND_UDP_HEADER_BYTES = 28
 ENTRY_HOST_COUNT = 503
@@ -163,8 +168,17 @@
     )
     compressed_configuration_bytes = configuration_bytes(ADDRESS_COUNT)
     targets_per_zone = TARGET_COUNT // ZONE_COUNT
+    shares_per_zone = share_count(targets_per_zone)
     load_report_bytes = datagram_bytes(
-        LoadReport("bg-west-a", [(1 << 31, 3)] * targets_per_zone)
+        LoadReport("bg-west-a", [(1 << 31, 3)] * (targets_per_zone // shares_per_zone))
+    )
+    report_recipients = shares_per_zone + ZONE_COUNT - 2
+    load_report_interval = max(
+        LOAD_REPORT_INTERVAL_SECONDS,
+        min(
+            MAXIMUM_LOAD_REPORT_INTERVAL_SECONDS,
+            report_recipients / MAXIMUM_LOAD_REPORTS_PER_SECOND,
+        ),
     )
     host_list_traffic = 2 * RESTARTS_PER_DAY * host_list_bytes / SECONDS_PER_DAY
     configuration_traffic = (
@@ -199,14 +213,15 @@
             "B/s",
         ),
         Row("messages inside the zone for one new flow", bytes_per_flow, "B"),
+        Row("coordinators of a service in a zone", shares_per_zone, ""),
         Row(
-            "steward of a zone: messages of all its new flows",
-            bytes_per_flow * NEW_FLOWS_PER_SECOND / ZONE_COUNT,
+            "coordinator: messages of its new flows",
+            bytes_per_flow * NEW_FLOWS_PER_SECOND / ZONE_COUNT / shares_per_zone,
             "B/s",
         ),
         Row(
-            "steward of a zone: reports to the other zones",
-            load_report_bytes * (ZONE_COUNT - 1) / LOAD_REPORT_INTERVAL_SECONDS,
+            "coordinator: load reports, with a flow on each of its servers",
+            load_report_bytes * report_recipients / load_report_interval,
             "B/s",
         ),
         Row(
--- a/src/kingcuppulley/fabric/service_shares.py
+++ b/src/kingcuppulley/fabric/service_shares.py
@@ -19,6 +19,14 @@
 SERVERS_PER_SHARE = 64
 
 
+def share_count(servers: int) -> int:
+    """Return into how many shares a number of servers is divided."""
+    count = 1
+    while count * SERVERS_PER_SHARE < servers:
+        count *= 2
+    return count
+
+
 class ServiceShares:
     """Compute the shares of each service and zone from the registry.
 
@@ -44,11 +52,11 @@
 
     def share_of_flow(self, zone: str, service: str, flow: bytes) -> int:
         """Return the share that a new flow belongs to, in the zone that received it."""
-        share_count = self.count(zone, service)
-        if share_count == 1:
+        count = self.count(zone, service)
+        if count == 1:
             return 0
         # The lower bits of the hash choose the service of the flow.
-        return (hash_bytes(flow) >> 32) % share_count
+        return (hash_bytes(flow) >> 32) % count
 
     def is_candidate(
         self, target: RegisteredTarget, zone: str, service: str, share: int
@@ -60,8 +68,8 @@
         """
         if target.zone == zone:
             return True
-        share_count = self.count(target.zone, service)
-        return target.cookie % share_count == share % share_count
+        count = self.count(target.zone, service)
+        return target.cookie % count == share % count
 
     def _compute_counts(self) -> dict[tuple[str, str], int]:
         servers = Counter(
@@ -69,10 +77,4 @@
             for target in self._registry.targets
             if target.state in (ServingState.READY, ServingState.DRAINING)
         )
-        counts = {}
-        for key, number in servers.items():
-            share_count = 1
-            while share_count * SERVERS_PER_SHARE < number:
-                share_count *= 2
-            counts[key] = share_count
-        return counts
+        return {key: share_count(number) for key, number in servers.items()}
