Place no flow on the second of two servers with one cookie

After the first was gone the second stayed unknown. Change: flows go only to a server whose cookie is its own; the second gets the cookie when the first is evicted; a gauge counts such servers (backend_server_cookie_collisions). Tests: test_of_two_servers_with_one_cookie_only_the_first_gets_flows.

--- a/src/kingcuppulley/backend_servers/target_registry.py
+++ b/src/kingcuppulley/backend_servers/target_registry.py
@@ -123,6 +123,15 @@
         """Return the server that a cookie identifies, or None."""
         return self._by_cookie.get(cookie)
 
+    def has_own_cookie(self, target: RegisteredTarget) -> bool:
+        """Return whether a server's cookie names it and no other server."""
+        return self._by_cookie.get(target.cookie) is target
+
+    @property
+    def cookie_collisions(self) -> int:
+        """Return how many servers have the cookie of another server."""
+        return len(self._targets) - len(self._by_cookie)
+
     def subscription_position(self, host: str) -> tuple[str, int]:
         """Return a control host's instance and the last change number received from it.
 
@@ -205,9 +214,15 @@
 
     def _remove(self, target: RegisteredTarget) -> None:
         del self._targets[target.name]
-        if self._by_cookie.get(target.cookie) is target:
-            del self._by_cookie[target.cookie]
         self._by_service[target.service].remove(target)
+        if self._by_cookie.get(target.cookie) is not target:
+            return
+        del self._by_cookie[target.cookie]
+        for other in self._targets.values():
+            if other.cookie == target.cookie:
+                # Its cookie was that of the removed server, too, and is unique now.
+                self._by_cookie[other.cookie] = other
+                return
 
     def _merge(self, name: str, now: float) -> RegisteredTarget | None:
         """Update a server from its newest report and return it if it changed."""
@@ -254,7 +269,8 @@
         if previous is not None:
             self._remove(previous)
         self._targets[heartbeat.name] = target
-        # If two servers have the same cookie, the first one keeps it.
+        # If two servers have the same cookie, the first one keeps it, and the second
+        # gets no flows: their packets would reach the first.
         self._by_cookie.setdefault(target.cookie, target)
         self._by_service.setdefault(target.service, []).append(target)
         return target
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -151,6 +151,7 @@
         gauges["backend_servers_in_use"] = sum(
             target.is_eligible for target in self._registry.targets
         )
+        gauges["backend_server_cookie_collisions"] = self._registry.cookie_collisions
         gauges["flows_open"] = self._placement.open_count
         gauges["flows_waiting"] = self._placement.queued_count
         gauges["is_ready"] = float(self.is_ready)
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -204,6 +204,7 @@
             if (
                 target.is_eligible
                 and target.zone not in self._zones_out
+                and self._registry.has_own_cookie(target)
                 and self._shares.is_candidate(target, self._zone, service, share)
             ):
                 yield target
@@ -218,7 +219,7 @@
         return (
             target.is_eligible
             and target.zone not in self._zones_out
-            and self._registry.by_cookie(target.cookie) is target
+            and self._registry.has_own_cookie(target)
             and self._rank(target, self.load(target.cookie), now) == 0
         )
 
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -331,3 +331,24 @@
     before = run.arrivals["i-1"]
     run.run_load(flows_per_second=100, seconds=5, work_seconds=WORK_SECONDS)
     assert run.arrivals["i-1"] - before > 100
+
+
+def test_of_two_servers_with_one_cookie_only_the_first_gets_flows(monkeypatch):
+    """Packets of the second one's flows would reach the first."""
+    monkeypatch.setattr(
+        "kingcuppulley.backend_servers.target_registry.derive_cookie", lambda *_: 7
+    )
+    registry = registry_of({"zone-a": 2})
+    placement = Placement("zone-a", registry, Random(1), lambda *_: None)
+    assert registry.cookie_collisions == 1
+    for number in range(4):
+        request = flow_request(b"flow-%d" % number)
+        decision = placement.open_flow(request, 0.0)
+        assert decision.target is not None and decision.target.name == "i-1"
+    left = heartbeat("i-1", state=ServingState.GONE, sequence=2)
+    registry.update("control", "instance-1", 2, [left], 1.0, 1)
+    registry.tick(1.0 + UNUSED_TARGET_RETENTION_SECONDS + 1.0)
+    assert registry.cookie_collisions == 0
+    placement.tick(200.0)
+    decision = placement.open_flow(flow_request(b"later", 200.0), 200.0)
+    assert decision.target is not None and decision.target.name == "i-2"
