Name the kinds of news of another control host

Cause: a return value of True, False or None had to be explained. Change: an enumeration in its place; the doc comment of FetchHostList. Result: the tests of control traffic pass.

--- a/src/kingcuppulley/control/relayed_sources.py
+++ b/src/kingcuppulley/control/relayed_sources.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from enum import Enum, auto
 
 from kingcuppulley.backend_servers.change_log import ChangeLog
 from kingcuppulley.backend_servers.heartbeat_table import HEARTBEAT_RETENTION_SECONDS
@@ -22,6 +23,17 @@
 EVICTION_INTERVAL_SECONDS = 10.0
 
 
+class News(Enum):
+    """Name what an update of another control host means for followers.
+
+    News is urgent if a server may get no new flows any more.
+    """
+
+    NONE = auto()
+    ROUTINE = auto()
+    URGENT = auto()
+
+
 class RelayedSources:
     """Subscribe to the other control hosts and keep copies of what they report."""
 
@@ -63,14 +75,12 @@
             self._eviction_deadline = now + EVICTION_INTERVAL_SECONDS
             self._evict_unused(now)
 
-    def apply_update(self, update: ControlUpdate, now: float) -> bool | None:
-        """Copy an update; return None without news, else whether it is urgent.
-
-        News is urgent if a server may get no new flows any more.
-        """
+    def apply_update(self, update: ControlUpdate, now: float) -> News:
+        """Copy an update and return what it means for followers."""
         source = self._sources.get(update.host)
-        has_news = source is None or source.instance != update.instance
-        if source is None or has_news:
+        news = News.NONE
+        if source is None or source.instance != update.instance:
+            news = News.ROUTINE
             source = UpdateSource(update.host, update.instance, ChangeLog(), now)
             self._sources[update.host] = source
             if not update.change_number:
@@ -84,17 +94,14 @@
         if update.since_change_number > known_change_number:
             # An earlier update was lost; applying this one would hide its changes.
             self._subscribe(update.host)
-            return None
-        is_urgent = False
+            return News.NONE
         if update.change_number > known_change_number:
-            has_news = True
             source.log.copy_changes(update.targets, update.change_number, now)
-            is_urgent = any(
-                target.state is not ServingState.READY for target in update.targets
-            )
+            states = {target.state for target in update.targets}
+            news = News.ROUTINE if states <= {ServingState.READY} else News.URGENT
         if update.has_more:
             self._subscribe(update.host)
-        return is_urgent if has_news else None
+        return news
 
     def store_host_list(self, host: str, host_list: HostList) -> None:
         """Keep the list of entry hosts that a control host sent."""
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -15,7 +15,7 @@
     FetchState,
 )
 from kingcuppulley.control.proposer import StateCallback
-from kingcuppulley.control.relayed_sources import RelayedSources
+from kingcuppulley.control.relayed_sources import News, RelayedSources
 from kingcuppulley.control.state import (
     EarlierServices,
     RoutingState,
@@ -241,9 +241,9 @@
             case SubscribeToControl() | SubscribeToRelay():
                 self._handle_subscription(message, now)
             case ControlUpdate():
-                is_urgent = self._relayed.apply_update(message, now)
-                if is_urgent is not None:
-                    self._notify(message.host, is_urgent=is_urgent)
+                news = self._relayed.apply_update(message, now)
+                if news is not News.NONE:
+                    self._notify(message.host, is_urgent=news is News.URGENT)
             case FetchHosts():
                 self._transport.send(address, self._own_host_list())
             case FetchHostList():
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -66,7 +66,10 @@
 
 
 class FetchHostList(msgspec.Struct, frozen=True, array_like=True, tag="fl"):
-    """Ask a relay for the list of entry hosts with a digest, whoever's list it is."""
+    """Ask a relay for a list of entry hosts, its own or that of another control host.
+
+    `digest` identifies the list.
+    """
 
     digest: int
 
