Stop to follow a control host that restarts as an earlier build

A host kept a relay's zone for ever, and each direct answer made the control host its relay again. Change: the zone follows each update; without one the control host is no relay.

--- a/src/kingcuppulley/entry_hosts/control_follower.py
+++ b/src/kingcuppulley/entry_hosts/control_follower.py
@@ -131,9 +131,11 @@
                 self._statuses[host] = ControlHostStatus(now)
 
     def record_relay_zone(self, host: str, zone: str) -> None:
-        """Record that a control host can be a relay; an empty zone says nothing."""
-        if zone:
-            self._statuses[host].zone = zone
+        """Record in which zone a control host is a relay, or that it is none.
+
+        A control host that restarts as an earlier build names no zone any more.
+        """
+        self._statuses[host].zone = zone
 
     def record_relayed(self, host: str, now: float) -> None:
         """Record that a control host passed on updates as a relay."""
--- a/tests/cover/test_control_traffic.py
+++ b/tests/cover/test_control_traffic.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from kingcuppulley.backend_servers.heartbeat_table import HEARTBEAT_RETENTION_SECONDS
 from kingcuppulley.control.relayed_sources import EVICTION_INTERVAL_SECONDS
 from kingcuppulley.entry_hosts.control_follower import CONTROL_HOST_RETENTION_SECONDS
+from kingcuppulley.entry_hosts.seeded_messages import ControlUpdate, SubscribeToRelay
 from tests.control_traffic import SERVERS_PER_ENTRY_HOST, ControlNetwork
 
 BUDGET_BYTES_PER_SECOND = 11_000
@@ -246,3 +248,32 @@
     for control in network.controls.values():
         for source in control._relayed.sources:
             assert source.log.get("i-1") is None
+
+
+def test_hosts_leave_a_relay_that_returns_as_an_earlier_build():
+    """An earlier build knows no relays: it must not be asked again and again."""
+    network = deployment_at_rest(3, 3, 9)
+    earlier = network.control_names[0]
+    del network.controls[earlier]
+    network.run(0.5)
+    network.controls[earlier] = network.start_control(earlier)
+    requests: list[float] = []
+    send = network.send
+
+    def send_as_earlier_build(source: str, destination: str, message: object) -> None:
+        if destination == earlier and isinstance(message, SubscribeToRelay):
+            requests.append(network.now)
+            return
+        if source == earlier and isinstance(message, ControlUpdate):
+            message = msgspec.structs.replace(message, relay_zone="")
+        send(source, destination, message)
+
+    network.send = send_as_earlier_build  # type: ignore[method-assign]
+    network.run(2.0)
+    requests.clear()
+    network.run(5.0)
+    assert requests == []
+    network.drain_server(0)
+    network.run(1.0)
+    for name in network.entry_names:
+        assert "i-1" not in network.known_servers(name)
