Name a flow's route, a packet's sequence number and a host's limits for the parts on hard load

Cause: pacing, fair queueing and uneven hosts need facts that the decisions did not have: which route a queued flow belongs to, whether a data packet repeats an earlier one, and what the link and the processor of a host can bear.

Change: FlowRequest.route (read from the packet, so no message changes), FlowPacket.sequence, SeededSettings.link_bytes_per_second and processor_cores. A malformed packet in another host's request to place a flow is counted and dropped. No decision uses the new fields yet.

--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -167,8 +167,13 @@
 
     def place_for_host(self, host: str, message: PlaceFlow, now: float) -> None:
         """Place a new flow whose packet another host of the zone received."""
+        try:
+            route_key = self._packet_format.read(message.packet).route_key
+        except MalformedPacketError:
+            self._counts["packets_malformed"] += 1
+            return
         self._transport.send_to_host(host, FlowAcknowledged(message.flow))
-        self._place_flow(self._build_request(message, host, now), now)
+        self._place_flow(self._build_request(message, route_key, host, now), now)
 
     def forward_for_host(self, packet: bytes, now: float) -> None:
         """Forward a packet whose cookie another host of the zone does not know.
@@ -270,7 +275,7 @@
             objective_ms,
             packet,
         )
-        request = self._build_request(message, self._address, now)
+        request = self._build_request(message, header.route_key, self._address, now)
         share = self._placement.choice.shares.share_of_flow(
             self._zone, service, header.flow
         )
@@ -290,7 +295,7 @@
         self._transport.send_to_host(coordinator, message)
 
     def _build_request(
-        self, message: PlaceFlow, origin: str, now: float
+        self, message: PlaceFlow, route_key: bytes, origin: str, now: float
     ) -> FlowRequest:
         opening_began_at = now - self._packet_format.opening_age_seconds(
             message.retransmission
@@ -308,6 +313,7 @@
             - ANSWER_TRAVEL_SECONDS,
             opening_began_at
             + self._packet_format.retransmission_due_seconds(message.retransmission),
+            route_key,
         )
 
     def _place_flow(self, request: FlowRequest, now: float) -> None:
--- a/src/kingcuppulley/fabric/flow_queue.py
+++ b/src/kingcuppulley/fabric/flow_queue.py
@@ -48,6 +48,8 @@
         retransmission.
     refusal_deadline : float
         Until when a refusal cannot reset a flow that was placed in the meantime.
+    route : bytes
+        Destination address and port of the flow's packets, which identify its route.
     queued_since : float
         When the first packet of the flow was queued.
     """
@@ -62,6 +64,7 @@
         "objective_deadline",
         "answer_deadline",
         "next_retransmission_at",
+        "route",
         "refusal_deadline",
         "queued_since",
     )
@@ -77,6 +80,7 @@
         objective_deadline: float,
         answer_deadline: float,
         next_retransmission_at: float,
+        route: bytes = b"",
     ) -> None:
         self.flow = flow
         self.service = service
@@ -87,6 +91,7 @@
         self.objective_deadline = objective_deadline
         self.answer_deadline = answer_deadline
         self.next_retransmission_at = next_retransmission_at
+        self.route = route
         self.refusal_deadline = 0.0
         self.queued_since = 0.0
 
--- a/src/kingcuppulley/fabric/formats.py
+++ b/src/kingcuppulley/fabric/formats.py
@@ -27,6 +27,8 @@
         none.
     has_data : bool
         Whether the packet carries a part of a request.
+    sequence : int
+        Position of the packet's data in what the caller sends; equal for repeats.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "retransmission",
         "cookie",
         "has_data",
+        "sequence",
     )
 
     def __init__(
@@ -48,6 +51,7 @@
         retransmission: int,
         cookie: int,
         has_data: bool,
+        sequence: int,
     ) -> None:
         self.flow = flow
         self.route_key = route_key
@@ -56,6 +60,7 @@
         self.retransmission = retransmission
         self.cookie = cookie
         self.has_data = has_data
+        self.sequence = sequence
 
 
 class PacketFormat(Protocol):
--- a/src/kingcuppulley/platform/packets.py
+++ b/src/kingcuppulley/platform/packets.py
@@ -7,11 +7,12 @@
 from kingcuppulley.errors import MalformedPacketError
 from kingcuppulley.fabric.formats import FlowPacket
 
-# The fields in order: 4 bytes that are not read, the acknowledgement, 4 bytes that are
-# not read, the destination's port, the source's address and port, the destination's
+# The fields in order: the sequence number, the acknowledgement, 4 bytes that are not
+# read, the destination's port, the source's address and port, the destination's
 # address, the cookie, the flags, 3 bytes that are not read, and the data's length.
 _HEADER = struct.Struct("!IIIH4sH4sIB3sH")
 _COOKIE = struct.Struct("!I")
+_SEQUENCE = struct.Struct("!I")
 _LENGTH = struct.Struct("!H")
 _COOKIE_OFFSET = 24
 _COOKIE_END = 28
@@ -71,6 +72,7 @@
                 packet, _ACKNOWLEDGEMENT_OFFSET
             )
         (cookie,) = _COOKIE.unpack_from(packet, _COOKIE_OFFSET)
+        (sequence,) = _SEQUENCE.unpack_from(packet)
         return FlowPacket(
             packet[_FLOW_SLICE],
             packet[_CALLED_ADDRESS_SLICE] + packet[_CALLED_PORT_SLICE],
@@ -79,6 +81,7 @@
             retransmission,
             cookie,
             length > 0,
+            sequence,
         )
 
     def retransmission_due_seconds(self, retransmission: int) -> float:
--- a/src/kingcuppulley/platform/settings.py
+++ b/src/kingcuppulley/platform/settings.py
@@ -15,6 +15,7 @@
 
 METRICS_PORT = 9464
 _MAXIMUM_PORT = 65_535
+_BYTES_PER_MEGABIT = 1_000_000 / 8
 SETTINGS_FILE_VARIABLE = "KINGCUPPULLEY_CONFIG"
 
 
@@ -32,6 +33,14 @@
     machines: int = 1
 
 
+class _Limits(msgspec.Struct):
+    # Share of each core that the process may use.
+    cpu_share: float = 0.0
+    cores: float = 1.0
+    # Rate of the host's link in megabits per second; 0 if it is not limited.
+    link_mbps: float = 0.0
+
+
 class _Bounds(msgspec.Struct):
     # How long after SIGTERM the process is killed.
     grace_s: float = 6.0
@@ -59,6 +68,7 @@
     data_dir: str = ""
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def settings_file() -> str:
@@ -97,6 +107,8 @@
         control=_parse_address(decoded.listen.control),
         metrics=SocketAddress(decoded.ip, METRICS_PORT),
         data_folder=decoded.data_dir,
+        link_bytes_per_second=decoded.limits.link_mbps * _BYTES_PER_MEGABIT,
+        processor_cores=decoded.limits.cpu_share * decoded.limits.cores,
     )
 
 
@@ -115,11 +127,11 @@
             remedy = f"{error}; correct it"
             faults.append(SettingsError(file, field.name, value, remedy))
     if not faults:
-        faults.extend(_find_address_faults(file, msgspec.convert(data, _Settings)))
+        faults.extend(_find_value_faults(file, msgspec.convert(data, _Settings)))
     return faults
 
 
-def _find_address_faults(file: str, settings: _Settings) -> list[SettingsError]:
+def _find_value_faults(file: str, settings: _Settings) -> list[SettingsError]:
     addresses = [("seeds", seed) for seed in settings.seeds]
     for field in msgspec.structs.fields(_Listen):
         address = getattr(settings.listen, field.name)
@@ -130,6 +142,11 @@
         for key, address in addresses
         if not _is_address(address)
     ]
+    for field in msgspec.structs.fields(_Limits):
+        limit = getattr(settings.limits, field.name)
+        if not 0 <= limit < float("inf"):
+            remedy = "use a finite number that is not negative"
+            faults.append(SettingsError(file, f"limits.{field.name}", limit, remedy))
     for port in settings.internal_ports:
         if not 0 < port <= _MAXIMUM_PORT:
             remedy = "use ports from 1 to 65535"
--- a/src/kingcuppulley/seeded_settings.py
+++ b/src/kingcuppulley/seeded_settings.py
@@ -42,6 +42,10 @@
         Where the process serves its metrics.
     data_folder : str
         Folder of a control host's durable data.
+    link_bytes_per_second : float
+        What the host's link carries; 0 if the settings do not name it.
+    processor_cores : float
+        Cores that the process may use; 0 if the settings do not name them.
     """
 
     name: str
@@ -58,3 +62,5 @@
     control: SocketAddress | None = None
     metrics: SocketAddress | None = None
     data_folder: str = ""
+    link_bytes_per_second: float = 0.0
+    processor_cores: float = 0.0
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -59,6 +59,7 @@
             0,
             int(cookie.decode()),
             kind == b"data",
+            0,
         )
 
     @property
@@ -325,6 +326,15 @@
     assert not host.sent.to_callers
 
 
+def test_a_malformed_packet_of_another_host_is_not_placed():
+    # It has no route; acknowledged, it would be lost without a trace.
+    host = Host(OWN)
+    request = PlaceFlow(b"flow", "order-desk", 0, 1, 150, b"malformed")
+    host.router.place_for_host(OTHER, request, 0.0)
+    assert not host.sent.to_hosts
+    assert not host.sent.to_targets
+
+
 def test_the_end_of_a_flow_is_reported_to_its_coordinator():
     host = host_with_other_coordinator()
     host.packet("flow open 0")
--- a/tests/platform/test_packets.py
+++ b/tests/platform/test_packets.py
@@ -35,6 +35,7 @@
     assert flow_packet.retransmission == 0
     assert flow_packet.cookie == 0
     assert flow_packet.route_key == bytes.fromhex("c6120001 01bb")
+    assert flow_packet.sequence == 0x11223344
 
 
 def test_the_retransmission_count_is_read_from_an_opening_packet_only():
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -26,6 +26,10 @@
 machines = 2
 [bounds]
 grace_s = 6
+[limits]
+cpu_share = 0.25
+cores = 2
+link_mbps = 4.0
 """
 
 
@@ -38,6 +42,26 @@
     assert settings.control is None
     assert settings.tolerated_disk_losses == 2
     assert settings.zones == ["west-a", "west-b"]
+    assert settings.link_bytes_per_second == 500_000
+    assert settings.processor_cores == 0.5
+
+
+def test_absent_limits_are_unknown(tmp_path):
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS.partition("[limits]")[0])
+    settings = load_settings(str(file))
+    assert settings.link_bytes_per_second == 0.0
+    assert settings.processor_cores == 0.0
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "inf"])
+def test_a_limit_that_is_no_amount_is_refused(tmp_path, value):
+    # A rate that is not a number would stop every packet that waits for it.
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS.replace("link_mbps = 4.0", f"link_mbps = {value}"))
+    with pytest.raises(SettingsFaults) as caught:
+        load_settings(str(file))
+    assert [fault.key for fault in caught.value.exceptions] == ["limits.link_mbps"]
 
 
 def test_all_faults_are_reported_at_once(tmp_path):
