Send every answer in full before a leaving entry host stops

Cause: a request counted as done once its answer was written to the connection.

Ruled out: connections not accepted yet and requests that had arrived unread, mended before.

Change: RequestDrain (out of the composition root) closes the open connections when no request is in progress, which sends what is buffered first, and the host stops when all are closed or at the leave deadline. ServiceSite tracks its open connections.

--- a/src/kingcuppulley/callers/listeners.py
+++ b/src/kingcuppulley/callers/listeners.py
@@ -41,17 +41,19 @@
 
 
 class ServiceChannel(HTTPChannel):
-    """Track its connection as pending until the first complete request arrives."""
+    """Track its connection as open, and as pending until the first complete request."""
 
     site: Any
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Add the connection to the pending ones."""
+        """Add the connection to the open and the pending ones."""
+        self.site.open_connections.add(self)
         self.site.pending_connections.add(self)
         super().connectionMade()
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]  # noqa: N802
-        """Remove the connection from the pending ones."""
+        """Remove the connection from the open and the pending ones."""
+        self.site.open_connections.discard(self)
         self.site.pending_connections.discard(self)
         super().connectionLost(reason)
 
@@ -61,6 +63,8 @@
 
     Attributes
     ----------
+    open_connections : set[ServiceChannel]
+        Connections that are not closed, or still have data to send.
     pending_connections : set[ServiceChannel]
         Open connections on which no complete request has arrived yet.
     """
@@ -70,6 +74,7 @@
     def __init__(self, gateway: Gateway, service: Service) -> None:
         self.gateway = gateway
         self.service = service
+        self.open_connections: set[ServiceChannel] = set()
         self.pending_connections: set[ServiceChannel] = set()
         super().__init__(
             resource=Resource(),
@@ -102,6 +107,11 @@
         """Return the number of open connections without a complete request so far."""
         return sum(len(site.pending_connections) for site in self._sites.values())
 
+    @property
+    def open_connection_count(self) -> int:
+        """Return the number of open connections of the services that are active."""
+        return sum(len(site.open_connections) for site in self._sites.values())
+
     def update(self, services: Iterable[Service]) -> None:
         """Open and close ports so that they match the active services."""
         services_by_identity = {
@@ -135,6 +145,12 @@
         self._ports.clear()
         self._unopened_services.clear()
 
+    def close_connections(self) -> None:
+        """Close each open connection once all that was written to it is sent."""
+        for site in self._sites.values():
+            for channel in list(site.open_connections):
+                channel.loseConnection()
+
     def _open(self, service: Service) -> None:
         site = ServiceSite(self._gateway, service)
         host = self._gateway.settings.listen_host or service.address
--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -18,6 +18,7 @@
 from kingcuppulley.backend_servers.http_client import BackendServerClient
 from kingcuppulley.callers.gateway import Gateway
 from kingcuppulley.callers.listeners import ServiceListeners
+from kingcuppulley.callers.request_drain import RequestDrain
 from kingcuppulley.control.acceptor import Acceptor
 from kingcuppulley.control.journal import FileJournal
 from kingcuppulley.control.peer_task import ControlPeers
@@ -38,13 +39,6 @@
 from kingcuppulley.settings import ControlSettings, EntrySettings
 
 TICK_INTERVAL_SECONDS = 0.05
-DRAIN_CHECK_INTERVAL_SECONDS = 0.05
-# Time to hand flows over and to notify callers that this host is leaving.
-MINIMUM_LEAVE_SECONDS = 1.0
-# Maximum number of checks for which a leaving host waits for requests on the
-# connections accepted last.  Checks are counted instead of seconds, because a host that
-# is behind schedule still reads the data that has arrived before each check.
-MAXIMUM_DRAIN_CHECKS = 40
 LISTENER_RETRY_INTERVAL_SECONDS = 1.0
 
 
@@ -128,7 +122,6 @@
         self._client = BackendServerClient(reactor)
         self._gateway = self._build_gateway()
         self._listeners = ServiceListeners(self._gateway, reactor)
-        self._drain_checks_left = MAXIMUM_DRAIN_CHECKS
         self._announcements = AnnouncementApi(
             self._host, self._clock.now, self._metrics
         )
@@ -158,9 +151,9 @@
         log_message(message_type="kingcuppulley:entry-started", host=self._own.name)
 
     def leave(self) -> None:
-        """Hand over flows, wait for requests in progress, then stop.
+        """Hand over flows, answer the requests in progress, then stop.
 
-        Requests that are not done after `leave_seconds` of the settings are cut off.
+        Answers that are not sent after `leave_seconds` of the settings are cut off.
         """
         if self._gateway.is_leaving:
             return
@@ -168,41 +161,27 @@
         self._gateway.is_leaving = True
         now = self._clock.now()
         self._host.leave(now)
-        earliest_stop = now + MINIMUM_LEAVE_SECONDS
-        leave_deadline = now + self._settings.leave_seconds
-        self._wait_for_requests(earliest_stop, leave_deadline)
+        drain = RequestDrain(
+            self._gateway,
+            self._listeners,
+            self._reactor,
+            self._clock.now,
+            now + self._settings.leave_seconds,
+            self._stop,
+        )
+        drain.check()
 
-    def _wait_for_requests(self, earliest_stop: float, leave_deadline: float) -> None:
-        now = self._clock.now()
-        if now >= earliest_stop:
-            # Until `earliest_stop` the ports stay open, because callers may not know
-            # that this host is leaving.
-            self._listeners.stop()
-        is_idle = self._gateway.active_count == 0 and now >= earliest_stop
-        if (
-            is_idle
-            and self._drain_checks_left
-            and self._listeners.pending_connection_count
-        ):
-            self._drain_checks_left -= 1
-            is_idle = False
-        if is_idle or now >= leave_deadline:
-            log_message(
-                message_type="kingcuppulley:entry-left",
-                host=self._own.name,
-                requests_under_way=self._gateway.active_count,
-                connections_unheard=self._listeners.pending_connection_count,
-            )
-            self._ticker.stop()
-            self._client.close()
-            self._reactor.stop()
-            return
-        self._reactor.callLater(
-            DRAIN_CHECK_INTERVAL_SECONDS,
-            self._wait_for_requests,
-            earliest_stop,
-            leave_deadline,
+    def _stop(self) -> None:
+        log_message(
+            message_type="kingcuppulley:entry-left",
+            host=self._own.name,
+            requests_under_way=self._gateway.active_count,
+            connections_unheard=self._listeners.pending_connection_count,
+            connections_open=self._listeners.open_connection_count,
         )
+        self._ticker.stop()
+        self._client.close()
+        self._reactor.stop()
 
     def _build_router(self) -> PacketRouter:
         fabric = self._settings.fabric
