Choose coordinators by capacity among hosts of uneven strength

Coordinators were ranked by a hash alone, so that hosts with 0.12 of a core coordinated services although stronger hosts were in their zone.

Entry hosts name their capacity in subscriptions, control hosts list it, and hosts with less than half of the largest capacity of a zone rank behind the others. An unknown capacity counts as the median of the known ones; without known ones, or with equal ones, the ranking is that of rank_names.

Two control hosts may list a host with and without capacity; the known one is used. A relay of an earlier build drops the capacities of lists but passes on their digest, so lists with unknown capacities are fetched again from another relay or from a restarted one. Without this, hosts kept a different list after a control host was upgraded within 0.1 s.

--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -334,7 +334,10 @@
             )
         subscriber.last_received_at = now
         info = EntryHostInfo(
-            subscription.address, subscription.zone, subscription.is_leaving
+            subscription.address,
+            subscription.zone,
+            subscription.is_leaving,
+            subscription.capacity,
         )
         is_listed_differently = (info, subscription.is_ready) != (
             subscriber.info,
--- a/src/kingcuppulley/entry_hosts/control_follower.py
+++ b/src/kingcuppulley/entry_hosts/control_follower.py
@@ -10,6 +10,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from kingcuppulley.entry_hosts.seeded_messages import EntryHostInfo
 from kingcuppulley.internal.rendezvous import hash_name, mix
 
@@ -104,6 +106,7 @@
         self._statuses: dict[str, ControlHostStatus] = {}
         self._relay: str | None = None
         self._relay_chosen_at = 0.0
+        self._answering_relay = ("", "")
 
     @property
     def statuses(self) -> dict[str, ControlHostStatus]:
@@ -137,9 +140,12 @@
         """
         self._statuses[host].zone = zone
 
-    def record_relayed(self, host: str, now: float) -> None:
+    def record_relayed(self, host: str, instance: str, now: float) -> None:
         """Record that a control host passed on updates as a relay."""
         self.add([host], now)
+        if (host, instance) != self._answering_relay:
+            self._answering_relay = (host, instance)
+            self._expect_complete_lists()
         self._statuses[host].answered_at = now
         self._statuses[host].suspicion_deadline = 0.0
 
@@ -228,14 +234,28 @@
 
     def listed_hosts(self, now: float) -> list[EntryHostInfo]:
         """Return the entry hosts that any control host has listed lately."""
-        hosts = {
-            info.address: info
-            for status in self._statuses.values()
-            if now - status.listed_at < HOST_LIST_RETENTION_SECONDS
-            for info in status.hosts
-        }
+        hosts: dict[str, EntryHostInfo] = {}
+        for status in self._statuses.values():
+            if now - status.listed_at >= HOST_LIST_RETENTION_SECONDS:
+                continue
+            for info in status.hosts:
+                known = hosts.get(info.address)
+                if known is not None and known.capacity > info.capacity:
+                    # A control host of an earlier build lists no capacities.
+                    info = msgspec.structs.replace(info, capacity=known.capacity)
+                hosts[info.address] = info
         return list(hosts.values())
 
+    def _expect_complete_lists(self) -> None:
+        """Fetch the lists without some capacities again.
+
+        A relay of an earlier build drops the capacities of the lists that it passes on
+        with an unchanged digest.
+        """
+        for status in self._statuses.values():
+            if any(not info.capacity for info in status.hosts):
+                status.stored_digest = 0
+
     def _suspect_silent_relay(self, now: float) -> None:
         status = self._statuses.get(self._relay) if self._relay is not None else None
         if status is None:
--- a/src/kingcuppulley/entry_hosts/coordinator_table.py
+++ b/src/kingcuppulley/entry_hosts/coordinator_table.py
@@ -15,12 +15,29 @@
 ZONE_HOST_RETENTION_SECONDS = 15.0
 
 
+def find_weak_hosts(hosts: list[EntryHostInfo]) -> frozenset[str]:
+    """Return the hosts of a zone with less than half of the largest capacity.
+
+    A host whose capacity is not known counts as the median of the others.
+    """
+    known = sorted(host.capacity for host in hosts if host.capacity > 0)
+    if not known:
+        return frozenset()
+    median = (known[(len(known) - 1) // 2] + known[len(known) // 2]) / 2
+    return frozenset(
+        host.address
+        for host in hosts
+        if 2 * (host.capacity if host.capacity > 0 else median) < known[-1]
+    )
+
+
 class CoordinatorTable:
     """Rank the entry hosts of each zone as placement coordinators of each service.
 
     Every host computes the ranking from its own list of hosts.  While the lists differ,
     two hosts may place flows of one service; each then counts the flows that the other
-    lists in its load reports.
+    lists in its load reports.  Weak hosts are ranked behind the others of their zone,
+    because a coordinator handles messages of every new flow of its share.
     """
 
     def __init__(self, address: str, zone: str) -> None:
@@ -30,6 +47,7 @@
         self._suspicion_deadlines: dict[str, float] = {}
         self._reported_at: dict[str, float] = {}
         self._ranked_addresses: dict[tuple[str, str, int], list[str]] = {}
+        self._weak_addresses: dict[str, frozenset[str]] = {}
         self._last_seen_at: dict[str, float] = {}
 
     def update(self, hosts: list[EntryHostInfo], now: float) -> None:
@@ -41,6 +59,7 @@
         if hosts_by_address != self._hosts:
             self._hosts = hosts_by_address
             self._ranked_addresses.clear()
+            self._weak_addresses.clear()
 
     def suspect(self, address: str, now: float) -> None:
         """Skip an unresponsive host for `HOST_SUSPICION_SECONDS`."""
@@ -69,10 +88,8 @@
         ]
         remaining_hosts = [
             host
-            for host in self._hosts.values()
-            if host.zone == self._zone
-            and host.address != self._address
-            and not host.is_leaving
+            for host in self._staying_hosts(self._zone)
+            if host.address != self._address
         ]
         return 2 * len(remaining_hosts) >= len(recent_hosts)
 
@@ -108,11 +125,20 @@
         key = (zone, service, share)
         ranked = self._ranked_addresses.get(key)
         if ranked is None:
-            addresses = [
-                host.address
-                for host in self._hosts.values()
-                if host.zone == zone and not host.is_leaving
-            ]
+            hosts = self._staying_hosts(zone)
+            weak = self._weak_addresses.get(zone)
+            if weak is None:
+                weak = self._weak_addresses[zone] = find_weak_hosts(hosts)
             name = f"{service}/{share}" if share else service
-            ranked = self._ranked_addresses[key] = list(rank_names(name, addresses))
+            ranked = list(rank_names(name, [host.address for host in hosts]))
+            # The sort is stable: each class keeps its order.
+            ranked.sort(key=weak.__contains__)
+            self._ranked_addresses[key] = ranked
         return ranked
+
+    def _staying_hosts(self, zone: str) -> list[EntryHostInfo]:
+        return [
+            host
+            for host in self._hosts.values()
+            if host.zone == zone and not host.is_leaving
+        ]
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -62,7 +62,7 @@
     applies them to its routing table, target registry and coordinator table, and routes
     callers' packets by these.  `seeds` names the control hosts that it knows first.
     Unlike an `EntryHost`, it gets the lists of entry hosts and backend servers from
-    control hosts alone.
+    control hosts alone.  `capacity` is that of `EntryHostInfo`.
     It owns no sockets: `transport` and `send` are given by the process.
     """
 
@@ -78,9 +78,11 @@
         metrics: Metrics,
         log: EntryLog,
         generator: Random,
+        capacity: int = 0,
     ) -> None:
         self._address = address
         self._zone = zone
+        self._capacity = capacity
         self._decode = decode
         self._send = send
         self._metrics = metrics
@@ -244,6 +246,7 @@
             self._router.is_ready,
             self._is_leaving,
             [position for position in positions if position.instance],
+            self._capacity,
         )
         self._send(relay, subscription)
 
@@ -256,6 +259,7 @@
             self._is_leaving,
             instance,
             change_number,
+            self._capacity,
         )
         self._send(host, subscription)
 
@@ -271,7 +275,7 @@
     def _apply_relayed_updates(self, message: RelayedUpdate, now: float) -> None:
         relay_update = message.updates[0]
         relay = relay_update.host
-        self._control.record_relayed(relay, now)
+        self._control.record_relayed(relay, relay_update.instance, now)
         for update, age_ms in zip(message.updates, message.ages_ms, strict=False):
             self._apply_update(update, now - age_ms / 1000, now)
             self._request_host_list(update, relay, True, now)
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -17,19 +17,22 @@
     """Describe an entry host that serves traffic.
 
     `is_leaving` says that the host stops soon and is no longer a placement
-    coordinator.
+    coordinator.  `capacity` is in thousandths of a core that the process may use; it is
+    0 if it is not known, as in lists of earlier builds.
     """
 
     address: str
     zone: str
     is_leaving: bool
+    capacity: int = 0
 
 
 class SubscribeToControl(msgspec.Struct, frozen=True, array_like=True, tag="fc"):
     """Ask a control host for what changed since `change_number`.
 
     Change numbers are those of one control host process, `instance`.  A subscription
-    that names another instance gets every backend server.
+    that names another instance gets every backend server.  `capacity` is that of
+    `EntryHostInfo`.
     """
 
     address: str
@@ -38,6 +41,7 @@
     is_leaving: bool
     instance: str
     change_number: int
+    capacity: int = 0
 
 
 class SourcePosition(msgspec.Struct, frozen=True, array_like=True):
@@ -52,13 +56,17 @@
 
 
 class SubscribeToRelay(msgspec.Struct, frozen=True, array_like=True, tag="fy"):
-    """Ask a control host for what changed at all control hosts since some positions."""
+    """Ask a control host for what changed at all control hosts since some positions.
+
+    `capacity` is that of `EntryHostInfo`.
+    """
 
     address: str
     zone: str
     is_ready: bool
     is_leaving: bool
     positions: list[SourcePosition]
+    capacity: int = 0
 
 
 class FetchHosts(msgspec.Struct, frozen=True, array_like=True, tag="fh"):
--- a/src/kingcuppulley/experiments/seeded_capacity.py
+++ b/src/kingcuppulley/experiments/seeded_capacity.py
@@ -51,6 +51,7 @@
 SECONDS_PER_DAY = 86_400
 OPENING_PACKET_BYTES = 34
 HOST_ADDRESS = "10.128.255.255:7720"
+HOST_CAPACITY = 408
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -131,6 +132,7 @@
             True,
             False,
             [SourcePosition(HOST_ADDRESS, "0" * 16, 50_000)] * CONTROL_HOST_COUNT,
+            HOST_CAPACITY,
         )
     )
     own_update = sample_update([HOST_ADDRESS] * CONTROL_HOST_COUNT)
@@ -144,16 +146,10 @@
         SubscribeToControl(HOST_ADDRESS, "bg-west-a", True, False, "0" * 16, 50_000)
     )
     target_bytes = len(msgspec.msgpack.encode(sample_heartbeat()))
-    host_bytes = len(
-        msgspec.msgpack.encode(EntryHostInfo(HOST_ADDRESS, "bg-west-a", False))
-    )
+    host_info = EntryHostInfo(HOST_ADDRESS, "bg-west-a", False, HOST_CAPACITY)
+    host_bytes = len(msgspec.msgpack.encode(host_info))
     hosts_per_relay = -(-ENTRY_HOST_COUNT // CONTROL_HOST_COUNT)
-    host_list_bytes = datagram_bytes(
-        HostList(
-            1 << 62,
-            [EntryHostInfo(HOST_ADDRESS, "bg-west-a", False)] * hosts_per_relay,
-        )
-    )
+    host_list_bytes = datagram_bytes(HostList(1 << 62, [host_info] * hosts_per_relay))
     flow_id = bytes(12)
     opening_bytes = datagram_bytes(
         PlaceFlow(flow_id, "order-desk", 0, 1, 120, bytes(OPENING_PACKET_BYTES))
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -33,6 +33,7 @@
 STOP_MARGIN_SECONDS = 0.4
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 MAXIMUM_PACKET_BYTES = 2048
+MILLICORES_PER_CORE = 1000
 
 
 class PacketSocket:
@@ -118,6 +119,7 @@
             self.metrics,
             self.log,
             Random(os.urandom(8)),
+            round(settings.processor_cores * MILLICORES_PER_CORE),
         )
         self._leave_plan: LeavePlan | None = None
         self._ticker = Ticker(loop, TICK_INTERVAL_SECONDS, self._tick)
--- a/tests/control_traffic.py
+++ b/tests/control_traffic.py
@@ -54,6 +54,7 @@
         self.bytes_between_zones: Counter[str] = Counter()
         self._encoder = msgspec.msgpack.Encoder()
         self._sizes: dict[int, int] = {}
+        self.capacities: dict[str, int] = {}
         self.zone_of = {
             f"control-{number}:1": f"zone-{number % zones}"
             for number in range(control_hosts)
@@ -105,6 +106,7 @@
             Metrics(),
             DiscardingLog(),
             Random(name),
+            self.capacities.get(name, 0),
         )
 
     def start_servers(self, first: int, count: int, seconds: float) -> None:
--- /dev/null
+++ b/tests/cover/test_host_capacity.py
@@ -0,0 +1,175 @@
+"""Check that coordinators are chosen by capacity, also beside earlier builds."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+
+from kingcuppulley.entry_hosts.control_follower import ControlFollower
+from kingcuppulley.entry_hosts.coordinator_table import CoordinatorTable
+from kingcuppulley.entry_hosts.seeded_messages import (
+    EntryHostInfo,
+    HostList,
+    SourcePosition,
+    SubscribeToControl,
+    SubscribeToRelay,
+)
+from kingcuppulley.internal.rendezvous import rank_names
+from tests.control_traffic import ControlNetwork
+
+SERVICE = "order-desk"
+STRONG, WEAK = 408, 120
+SHARES = range(32)
+POSITION = ["c1", "i1", 7]
+
+
+@pytest.mark.parametrize(
+    ("current", "earlier"),
+    [
+        (EntryHostInfo("a1", "z", True, 163), ["a1", "z", True]),
+        (
+            SubscribeToControl("a1", "z", True, False, "i1", 7, 163),
+            ["fc", "a1", "z", True, False, "i1", 7],
+        ),
+        (
+            SubscribeToRelay("a1", "z", True, False, [SourcePosition(*POSITION)], 163),
+            ["fy", "a1", "z", True, False, [POSITION]],
+        ),
+    ],
+)
+def test_messages_are_exchanged_with_earlier_builds(current: Any, earlier: list[Any]):
+    """A mixed deployment must not lose subscriptions or lists of hosts."""
+    encode, decode = msgspec.msgpack.encode, msgspec.msgpack.decode
+    fields = msgspec.structs.fields(current)[:-1]
+    EarlierType = msgspec.defstruct(
+        "EarlierType",
+        [(field.name, field.type) for field in fields],
+        array_like=True,
+        tag=current.__struct_config__.tag,
+    )
+    earlier_message = decode(encode(current), type=EarlierType)
+    assert encode(earlier_message) == encode(earlier)
+    received = decode(encode(earlier_message), type=type(current))
+    assert received == msgspec.structs.replace(current, capacity=0)
+
+
+def table_of(capacities: dict[str, int]) -> CoordinatorTable:
+    table = CoordinatorTable("a0", "zone-a")
+    hosts = [EntryHostInfo(name, "zone-a", False, n) for name, n in capacities.items()]
+    table.update(hosts, 0.0)
+    return table
+
+
+def chosen(table: CoordinatorTable) -> set[str | None]:
+    return {table.coordinator("zone-a", SERVICE, 0.0, share) for share in SHARES}
+
+
+@pytest.mark.parametrize("capacity", [0, 1, 163])
+def test_hosts_of_equal_capacity_are_ranked_by_hash_alone(capacity: int):
+    """Deployments of equal hosts, or of earlier builds, must see no change."""
+    random = Random(4)
+    for _ in range(50):
+        names = [f"10.0.{random.randrange(256)}.{n}:7" for n in range(9)]
+        table = table_of(dict.fromkeys(names, capacity))
+        assert table._ranked("zone-a", SERVICE) == rank_names(SERVICE, names)
+        assert table._ranked("zone-a", SERVICE, 5) == rank_names(f"{SERVICE}/5", names)
+
+
+def test_weak_hosts_coordinate_only_while_no_strong_one_answers():
+    table = table_of({"a0": WEAK, "a1": STRONG, "a2": 204, "a3": 203})
+    assert chosen(table) == {"a1", "a2"}
+    assert table.peer_in_zone(SERVICE, 0.0) in ("a1", "a2")
+    table.suspect("a1", 0.0)
+    table.suspect("a2", 0.0)
+    assert chosen(table) == {"a0", "a3"}
+    assert table.peer_in_zone(SERVICE, 0.0) == "a3"
+
+
+def test_a_host_of_unknown_capacity_counts_as_the_median():
+    assert "a9" in chosen(table_of({"a1": WEAK, "a2": STRONG, "a3": STRONG, "a9": 0}))
+    assert chosen(table_of({"a1": WEAK, "a2": WEAK, "a3": STRONG, "a9": 0})) == {"a3"}
+
+
+@pytest.mark.parametrize("order", [("c1", "c2"), ("c2", "c1")])
+def test_a_known_capacity_is_preferred_to_an_unknown_one(order: tuple[str, str]):
+    """The ranking must not change with the order in which lists arrive."""
+    follower = ControlFollower("a1", "zone-a", [])
+    follower.add(order, 0.0)
+    follower.statuses["c1"].store_hosts([EntryHostInfo("a1", "z", False, 408)], 0.0)
+    follower.statuses["c2"].store_hosts([EntryHostInfo("a1", "z", True, 0)], 0.0)
+    (host,) = follower.listed_hosts(0.1)
+    assert host.capacity == 408
+
+
+class UnevenNetwork(ControlNetwork):
+    """Run a zone of weak and strong hosts; some control hosts are of an older build."""
+
+    def __init__(self, *earlier: str) -> None:
+        self.earlier = set(earlier)
+        super().__init__(1, 3, 12)
+        for number, name in enumerate(self.entry_names):
+            self.capacities[name] = WEAK if number % 4 else STRONG
+            self.entries[name] = self.start_entry(name)
+        self.run(1.0)
+        self.configure(1)
+        self.start_servers(0, 30, 0.2)
+        self.run(2.0)
+
+    def send(self, source: str, destination: str, message: object) -> None:
+        replace = msgspec.structs.replace
+        if {source, destination} & self.earlier:
+            match message:
+                case SubscribeToControl() | SubscribeToRelay():
+                    message = replace(message, capacity=0)
+                case HostList():
+                    hosts = [replace(host, capacity=0) for host in message.hosts]
+                    message = HostList(message.digest, hosts)
+        super().send(source, destination, message)
+
+    def coordinators(self) -> set[str | None]:
+        """Return the hosts that any host takes for the coordinator."""
+        return {
+            entry._coordinators.coordinator("zone-0", SERVICE, self.now)
+            for entry in self.entries.values()
+        }
+
+    def disagreement_seconds(self, seconds: float) -> float:
+        """Run for some seconds and return how long hosts chose differently."""
+        different_steps = 0
+        for _ in range(round(seconds / 0.02)):
+            self.run(0.02)
+            different_steps += len(self.coordinators() - {None}) > 1
+        return different_steps * 0.02
+
+
+def test_two_hosts_place_flows_of_a_share_for_less_than_a_second():
+    """A strong host leaves, returns as a weak one, and returns as a strong one."""
+    network = UnevenNetwork()
+    (changed,) = network.coordinators()
+    assert changed is not None
+    assert network.capacities[changed] == STRONG
+    network.entries[changed].notify_leaving()
+    assert network.disagreement_seconds(3.0) < 1.0
+    for capacity in (WEAK, STRONG):
+        network.capacities[changed] = capacity
+        network.entries[changed] = network.start_entry(changed)
+        assert network.disagreement_seconds(4.0) < 1.0
+        assert (network.coordinators() == {changed}) is (capacity == STRONG)
+
+
+@pytest.mark.parametrize("downtime", [0.1, 1.5])
+def test_hosts_agree_again_after_the_last_control_host_is_upgraded(downtime: float):
+    """Lists without capacities must not outlive the relay that dropped them."""
+    upgraded = "control-1:1"
+    network = UnevenNetwork(upgraded)
+    del network.controls[upgraded]
+    network.run(downtime)
+    network.earlier.clear()
+    network.controls[upgraded] = network.start_control(upgraded)
+    network.run(4.0)
+    for entry in network.entries.values():
+        hosts = entry._coordinators._hosts.values()
+        assert {host.address: host.capacity for host in hosts} == network.capacities
