Do not forward headers that Connection names, nor blame a server for a caller that stops reading

Cause: a header that the Connection header names concerns one connection only, yet it was forwarded to backend servers and callers. The idle time of an attempt also ran while the gateway itself had paused reading for a slow caller; its end was recorded as a timeout, which lowers the server's slot limit.

Change: callers/headers.py reads and selects headers (out of gateway.py). While reading is paused the idle time still bounds how long a slot is held, but the outcome is a cancellation; a resumed attempt has the whole idle time again.

--- a/src/kingcuppulley/callers/gateway.py
+++ b/src/kingcuppulley/callers/gateway.py
@@ -16,6 +16,13 @@
 
 from kingcuppulley.backend_servers.http_client import Attempt, BackendServerClient
 from kingcuppulley.callers import refusals
+from kingcuppulley.callers.headers import (
+    TIMEOUT_HEADER,
+    InvalidHeaderError,
+    end_to_end_headers,
+    read_key,
+    read_timeout_seconds,
+)
 from kingcuppulley.callers.refusals import OUTCOME_HEADER, Refusal
 from kingcuppulley.callers.request import (
     RequestCore,
@@ -34,7 +41,6 @@
     RefusalReason,
     SlotGrant,
 )
-from kingcuppulley.errors import KingcuppulleyError
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.reactor import Timer
 from kingcuppulley.internal.sender import Sender
@@ -42,31 +48,8 @@
 from kingcuppulley.model import Service
 from kingcuppulley.settings import CallerSettings
 
-KEY_HEADER = "Idempotency-Key"
-TIMEOUT_HEADER = "Request-Timeout"
 KEY_ISSUE_PATH = b"/.well-known/kingcuppulley/idempotency-key"
-MAXIMUM_KEY_CHARACTERS = 200
 MAXIMUM_BUFFERED_ANSWER_BYTES = 65_536
-MAXIMUM_TIMEOUT_SECONDS = 3600.0
-# Hop-by-hop headers, which concern one connection only, and Content-Length, which is
-# not copied but set from the body's length.
-_NOT_FORWARDED_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-    )
-)
-
-
-class InvalidHeaderError(KingcuppulleyError):
-    """Signal that a header of a caller's request has an invalid value."""
 
 
 class Gateway:
@@ -164,6 +147,7 @@
         self._deadline = self._began_at
         self._attempt_began_at = 0.0
         self._idle_deadline = math.inf
+        self._is_paused = False
         self._is_finished = False
         self._span: Span = gateway.tracer.begin(
             "entry", request.getHeader(TRACE_HEADER)
@@ -196,7 +180,10 @@
             self._core.tick(now)
         if now >= self._idle_deadline and self._attempt is not None:
             self._attempt.cancel()
-            self.attempt_failed(AttemptOutcome.TIMEOUT)
+            # A server that could not send because its caller did not read is not slow.
+            self.attempt_failed(
+                AttemptOutcome.CANCELLED if self._is_paused else AttemptOutcome.TIMEOUT
+            )
 
     # Actions that the core calls: RequestActions.
 
@@ -336,9 +323,7 @@
         self._response = response
         seconds = self._gateway.clock() - self._attempt_began_at
         self._gateway.service_times.record(self._service.identity, seconds)
-        self._idle_deadline = (
-            self._gateway.clock() + self._gateway.settings.idle_seconds
-        )
+        self._extend_idle_deadline()
 
     def attempt_data(self, data: bytes) -> None:
         """Handle a part of an answer's body.
@@ -349,9 +334,7 @@
         core = self._core
         if core is None or self._is_finished:
             return
-        self._idle_deadline = (
-            self._gateway.clock() + self._gateway.settings.idle_seconds
-        )
+        self._extend_idle_deadline()
         if core.stage is RequestStage.ANSWERING:
             self._request.write(data)
             return
@@ -397,23 +380,32 @@
     def pause(self) -> None:
         """Pause reading from the backend server until the caller has read more."""
         if self._attempt is not None:
+            self._is_paused = True
+            self._extend_idle_deadline()
             self._attempt.pause()
 
     def resume(self) -> None:
         """Resume reading from the backend server."""
         if self._attempt is not None:
+            self._is_paused = False
+            self._extend_idle_deadline()
             self._attempt.resume()
 
+    def _extend_idle_deadline(self) -> None:
+        self._idle_deadline = (
+            self._gateway.clock() + self._gateway.settings.idle_seconds
+        )
+
     def _read_facts(self) -> RequestFacts:
         request = self._request
         method = request.method.decode("ascii", "replace")
-        self._key = request.getHeader(KEY_HEADER)
-        if self._key is not None and not _is_valid_key(self._key):
-            raise InvalidHeaderError(KEY_HEADER)
+        self._key = read_key(request)
         self._body = request.content.read() if request.content else b""
         digest = hashlib.sha256(request.method + b" " + request.uri + b"\n")
         digest.update(self._service.identity.encode() + b"\n" + self._body)
-        timeout_seconds = self._timeout_seconds()
+        timeout_seconds = read_timeout_seconds(
+            request, self._gateway.settings.default_timeout_seconds
+        )
         service_times = self._gateway.service_times
         facts = RequestFacts(
             method=method,
@@ -428,18 +420,6 @@
         self._deadline = facts.deadline
         return facts
 
-    def _timeout_seconds(self) -> float:
-        text = self._request.getHeader(TIMEOUT_HEADER)
-        if text is None:
-            return self._gateway.settings.default_timeout_seconds
-        try:
-            seconds = float(text)
-        except ValueError as error:
-            raise InvalidHeaderError(TIMEOUT_HEADER) from error
-        if not 0 < seconds < math.inf:
-            raise InvalidHeaderError(TIMEOUT_HEADER)
-        return min(seconds, MAXIMUM_TIMEOUT_SECONDS)
-
     def _claim_replicas(self, key: str) -> list[str]:
         host = self._gateway.host
         zone = key_owner_zone(key, host.zones)
@@ -459,10 +439,7 @@
         self._finish(key.encode(), "issued")
 
     def _forwarded_headers(self) -> Headers:
-        headers = Headers()
-        for name, values in self._request.requestHeaders.getAllRawHeaders():
-            if name.lower() not in _NOT_FORWARDED_HEADERS:
-                headers.setRawHeaders(name, list(values))
+        headers = end_to_end_headers(self._request.requestHeaders)
         remaining_seconds = max(0.001, self._deadline - self._gateway.clock())
         headers.setRawHeaders(TIMEOUT_HEADER, [f"{remaining_seconds:.3f}"])
         trace = self._child_span.header if self._child_span is not None else None
@@ -473,9 +450,9 @@
     def _send_head(self, body_bytes: int | None) -> None:
         assert self._response is not None
         self._request.setResponseCode(self._response.code, self._response.phrase)
-        for name, values in self._response.headers.getAllRawHeaders():
-            if name.lower() not in _NOT_FORWARDED_HEADERS:
-                self._request.responseHeaders.setRawHeaders(name, list(values))
+        headers = end_to_end_headers(self._response.headers)
+        for name, values in headers.getAllRawHeaders():
+            self._request.responseHeaders.setRawHeaders(name, list(values))
         if body_bytes is None and isinstance(self._response.length, int):
             body_bytes = self._response.length
         if body_bytes is not None and self._request.method != b"HEAD":
@@ -530,7 +507,3 @@
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: the end of the caller's connection cancels the attempt."""
-
-
-def _is_valid_key(key: str) -> bool:
-    return 0 < len(key) <= MAXIMUM_KEY_CHARACTERS and key.isprintable()
