Pace what an entry host sends over its link

Cause: a caller's window of 16 packets was forwarded within 3 ms, and the queue of a 2 Mbit/s link dropped most of it; callers repeated the packets, and uploads and long-lived flows were late.

CookieTransport.send_to_target gets the header of packets that may wait; DatagramLink reports what it sent; a host that leaves sends its queue before it stops. PacketSocket.send_to_caller moves to EntryTransport, so that resets are charged. Without the setting, the router sends directly to the socket as before.

--- a/src/kingcuppulley/entry_hosts/leave_plan.py
+++ b/src/kingcuppulley/entry_hosts/leave_plan.py
@@ -20,6 +20,7 @@
     `MAXIMUM_STAY_SECONDS`, or `ROTATION_EXIT_SECONDS` before its stop deadline if that
     is earlier.  If too few hosts are in rotation, packets come to all hosts of the
     zone, so a host that left the rotation continues to serve until others are back.
+    Packets that are queued when it could stop are sent first.
     """
 
     __slots__ = ("_latest_leave_at", "_leave_at", "_stop_at", "_stop_deadline")
@@ -53,11 +54,14 @@
         self._stop_at = now + ROTATION_EXIT_SECONDS
         return True
 
-    def may_stop(self, now: float, can_leave_rotation: bool) -> bool:
+    def may_stop(
+        self, now: float, can_leave_rotation: bool, has_backlog: bool = False
+    ) -> bool:
         """Return whether a host that has left the rotation may stop."""
         if self._stop_at is None:
             return False
         # A host that was free to leave before stops without waiting for others: two
         # hosts that waited for each other would both stay down longer.
         is_free_to_stop = can_leave_rotation or self._leave_at is not None
-        return now >= self._stop_deadline or (is_free_to_stop and now >= self._stop_at)
+        has_finished = is_free_to_stop and now >= self._stop_at and not has_backlog
+        return now >= self._stop_deadline or has_finished
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -35,6 +35,7 @@
     SubscribeToRelay,
 )
 from kingcuppulley.fabric.cookie_router import CookieRouter, CookieTransport
+from kingcuppulley.fabric.egress_queue import LOWEST_PRIORITY
 from kingcuppulley.fabric.formats import PacketFormat
 from kingcuppulley.fabric.placement import Placement
 from kingcuppulley.internal.counters import Metrics
@@ -156,6 +157,11 @@
         gauges["flows_waiting"] = self._placement.queued_count
         gauges["is_ready"] = float(self.is_ready)
 
+    def priority_of_route(self, key: bytes) -> int:
+        """Return the priority of a route, the lowest one if the route is unknown."""
+        route = self._routing_table.route(key)
+        return LOWEST_PRIORITY if route is None else route.priority
+
     def can_leave_rotation(self, now: float) -> bool:
         """Return whether the zone's other hosts can serve its traffic."""
         return self._coordinators.can_leave_rotation(now)
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -51,8 +51,16 @@
 class CookieTransport(Protocol):
     """Send the router's packets and messages; implementations own the sockets."""
 
-    def send_to_target(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
-        """Send a datagram to a backend server."""
+    def send_to_target(
+        self,
+        datagram: bytes,
+        endpoint: tuple[str, int],
+        header: FlowPacket | None = None,
+    ) -> None:
+        """Send a datagram to a backend server.
+
+        A packet of an open flow comes with its header, and may wait for the link.
+        """
 
     def send_to_caller(self, packet: bytes, address: str) -> None:
         """Send a packet to a caller."""
@@ -395,7 +403,7 @@
         datagram = self._packet_format.to_target(
             packet, target.packet_identity, header.cookie
         )
-        self._transport.send_to_target(datagram, target.endpoint)
+        self._transport.send_to_target(datagram, target.endpoint, header)
 
     def _track_answer(self, header: FlowPacket, now: float) -> None:
         """Follow the requests and answers of a flow by its caller's packets."""
--- a/src/kingcuppulley/internal/datagram_link.py
+++ b/src/kingcuppulley/internal/datagram_link.py
@@ -20,7 +20,7 @@
 
     Datagrams need no connection.  A connection could become unresponsive, and its loss
     would have to be detected when a peer restarts.  Every protocol that uses this link
-    tolerates lost messages.
+    tolerates lost messages.  `on_sent` is called with the size of each datagram sent.
     """
 
     def __init__(
@@ -28,6 +28,7 @@
         message_types: Any,
         on_message: Callable[[str, Any], None],
         metrics: Metrics,
+        on_sent: Callable[[int], None] | None = None,
     ) -> None:
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(
@@ -35,6 +36,7 @@
         )
         self._on_message = on_message
         self._metrics = metrics
+        self._on_sent = on_sent
         self._endpoints: dict[str, tuple[str, int]] = {}
         self._bytes_counters: dict[type, str] = {}
         self._socket = DatagramSocket(self._receive, MAXIMUM_DATAGRAM_BYTES)
@@ -72,6 +74,8 @@
         self._metrics.count("peer_messages_sent")
         self._metrics.count("peer_bytes_sent", len(data))
         self._metrics.count(bytes_counter, len(data))
+        if self._on_sent is not None:
+            self._on_sent(len(data))
 
     def _receive(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -16,7 +16,7 @@
     HostList,
     RelayedUpdate,
 )
-from kingcuppulley.fabric.formats import PacketFormat
+from kingcuppulley.fabric.formats import FlowPacket, PacketFormat
 from kingcuppulley.internal.asyncio_http import HttpRequest, listen_requests
 from kingcuppulley.internal.clock import ProcessClock
 from kingcuppulley.internal.counters import Metrics
@@ -26,6 +26,7 @@
 from kingcuppulley.internal.ticker import Ticker
 from kingcuppulley.operators.routing import RoutingConfiguration
 from kingcuppulley.seeded.daemon import serve_metrics
+from kingcuppulley.seeded.egress_pacer import EgressPacer
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 TICK_INTERVAL_SECONDS = 0.02
@@ -48,6 +49,7 @@
         self._on_packet = on_packet
         self._counts = metrics.counts
         self._socket = DatagramSocket(self._receive, MAXIMUM_PACKET_BYTES)
+        self.send = self._socket.send
 
     def open(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start to read, with a receive buffer that is large enough for bursts."""
@@ -55,28 +57,44 @@
             loop, self._address.host, self._address.port, RECEIVE_BUFFER_BYTES
         )
 
-    def send_to_target(self, datagram: bytes, endpoint: tuple[str, int]) -> None:
-        """Send a datagram to a backend server, or count it as not sent."""
+    def send_to_target(
+        self,
+        datagram: bytes,
+        endpoint: tuple[str, int],
+        header: FlowPacket | None = None,
+    ) -> None:
+        """Send a datagram to a backend server at once, or count it as not sent."""
         if not self._socket.send(datagram, endpoint):
             self._counts["packets_not_sent"] += 1
 
-    def send_to_caller(self, packet: bytes, address: str) -> None:
-        """Send a packet to a caller, at the port that receives callers' packets."""
-        self.send_to_target(packet, (address, self._address.port))
-
     def _receive(self, datagram: bytes, _: tuple[str, int]) -> None:
         self._on_packet(datagram)
 
 
 class EntryTransport:
-    """Give the router the send methods of a packet socket and of a link to hosts."""
+    """Give the router the send methods of a packet socket and of a link to hosts.
 
-    __slots__ = ("send_to_target", "send_to_caller", "send_to_host")
+    With a pacer, datagrams to targets and callers keep to the rate of the host's link.
+    """
+
+    __slots__ = ("send_to_target", "send_to_host", "_caller_port")
 
-    def __init__(self, packet_socket: PacketSocket, link: DatagramLink) -> None:
-        self.send_to_target = packet_socket.send_to_target
-        self.send_to_caller = packet_socket.send_to_caller
+    def __init__(
+        self,
+        packet_socket: PacketSocket,
+        caller_port: int,
+        link: DatagramLink,
+        pacer: EgressPacer | None,
+    ) -> None:
+        self.send_to_target = (
+            packet_socket.send_to_target if pacer is None else pacer.send_to_target
+        )
         self.send_to_host = link.send
+        self._caller_port = caller_port
+
+    def send_to_caller(self, packet: bytes, address: str) -> None:
+        """Send a packet to a caller, at the port that receives callers' packets."""
+        self.send_to_target(packet, (address, self._caller_port))
 
 
 class SeededEntryDaemon:
@@ -102,18 +120,26 @@
         message_types = (
             EntryMessage | ControlUpdate | RelayedUpdate | HostList | ChosenState
         )
-        self._link = DatagramLink(message_types, self._receive_message, self.metrics)
         assert settings.packets is not None
         self._packet_socket = PacketSocket(
             settings.packets, self._route_packet, self.metrics
         )
+        self._pacer = self._build_pacer()
+        self._link = DatagramLink(
+            message_types,
+            self._receive_message,
+            self.metrics,
+            None if self._pacer is None else self._pacer.charge,
+        )
         self._host = SeededEntryHost(
             str(settings.peer),
             settings.zone,
             settings.seeds,
             packet_format,
             decode_configuration,
-            EntryTransport(self._packet_socket, self._link),
+            EntryTransport(
+                self._packet_socket, settings.packets.port, self._link, self._pacer
+            ),
             self._link.send,
             self.metrics,
             self.log,
@@ -159,13 +185,27 @@
         self.log.event_unthrottled("stop requested", can_be_spared=can_leave_rotation)
         self._host.notify_leaving()
 
+    def _build_pacer(self) -> EgressPacer | None:
+        """Return the pacer of the host's link, or None if its rate is not known."""
+        if not self._settings.link_bytes_per_second:
+            return None
+        return EgressPacer(
+            self._settings.link_bytes_per_second,
+            self._packet_socket.send,
+            lambda key: self._host.priority_of_route(key),
+            self._loop,
+            self.metrics,
+            self.log,
+        )
+
     def _advance_leave(self, plan: LeavePlan, now: float) -> None:
         can_leave_rotation = self._host.can_leave_rotation(now)
+        has_backlog = self._pacer is not None and self._pacer.queued_bytes > 0
         if not plan.has_left:
             if plan.may_leave(now, can_leave_rotation):
                 self.log.event_unthrottled("leaving", can_be_spared=can_leave_rotation)
                 self._host.leave()
-        elif plan.may_stop(now, can_leave_rotation):
+        elif plan.may_stop(now, can_leave_rotation, has_backlog):
             self._stop(can_leave_rotation)
 
     def _stop(self, can_leave_rotation: bool) -> None:
@@ -195,3 +235,5 @@
 
     def _update_gauges(self, gauges: dict[str, float]) -> None:
         self._host.update_gauges(gauges, self._clock.now())
+        if self._pacer is not None:
+            self._pacer.update_gauges(gauges)
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -86,12 +86,14 @@
 
     def __init__(self) -> None:
         self.to_targets: list[tuple[bytes, tuple[str, int]]] = []
+        self.headers: list[FlowPacket | None] = []
         self.to_callers: list[bytes] = []
         self.to_hosts: list[tuple[str, object]] = []
         self.decisions: list[tuple] = []
 
-    def send_to_target(self, datagram, endpoint):
+    def send_to_target(self, datagram, endpoint, header=None):
         self.to_targets.append((datagram, endpoint))
+        self.headers.append(header)
 
     def send_to_caller(self, packet, address):
         self.to_callers.append(packet)
@@ -174,6 +176,15 @@
     assert host.sent.to_targets[0][1][0] == f"10.0.0.{name[-1]}"
 
 
+def test_only_packets_of_open_flows_may_wait_for_the_link():
+    host = Host(OWN)
+    host.packet("flow open 0")
+    host.packet(f"flow data {host.cookie('i-1')}")
+    opening, data = host.sent.headers
+    assert opening is None
+    assert data is not None and data.flow == b"flow"
+
+
 def test_a_packet_with_an_unknown_cookie_is_neither_forwarded_nor_reset():
     host = Host(OWN)
     host.packet("flow data 12345")
