--- a/src/kingcuppulley/seeded/egress_pacer.py
+++ b/src/kingcuppulley/seeded/egress_pacer.py
@@ -58,7 +58,6 @@
         "_log",
         "_budget",
         "_prepaid_bytes",
-        "_prepaid_bytes",
         "_queue",
         "_sent_sequences",
         "_logged_backlog_bytes",
@@ -82,8 +81,6 @@
         self._counts = metrics.counts
         self._log = log
         self._budget = LinkBudget(bytes_per_second, loop.time())
-        # 0 while packets are queued.
-        self._prepaid_bytes = 0
         # Charged but not sent; 0 while packets are queued.
         self._prepaid_bytes = 0
         rate = self._budget.bytes_per_second
