--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -35,6 +35,7 @@
     SubscribeToRelay,
 )
 from kingcuppulley.fabric.cookie_router import CookieRouter, CookieTransport
+from kingcuppulley.fabric.egress_queue import LOWEST_PRIORITY
 from kingcuppulley.fabric.formats import PacketFormat
 from kingcuppulley.fabric.placement import Placement
 from kingcuppulley.internal.counters import Metrics
@@ -62,7 +63,7 @@
     applies them to its routing table, target registry and coordinator table, and routes
     callers' packets by these.  `seeds` names the control hosts that it knows first.
     Unlike an `EntryHost`, it gets the lists of entry hosts and backend servers from
-    control hosts alone.
+    control hosts alone.  `capacity` is that of `EntryHostInfo`.
     It owns no sockets: `transport` and `send` are given by the process.
     """
 
@@ -78,9 +79,11 @@
         metrics: Metrics,
         log: EntryLog,
         generator: Random,
+        capacity: int = 0,
     ) -> None:
         self._address = address
         self._zone = zone
+        self._capacity = capacity
         self._decode = decode
         self._send = send
         self._metrics = metrics
@@ -156,6 +159,11 @@
         gauges["flows_waiting"] = self._placement.queued_count
         gauges["is_ready"] = float(self.is_ready)
 
+    def priority_of_route(self, key: bytes) -> int:
+        """Return the priority of a route, the lowest one if the route is unknown."""
+        route = self._routing_table.route(key)
+        return LOWEST_PRIORITY if route is None else route.priority
+
     def can_leave_rotation(self, now: float) -> bool:
         """Return whether the zone's other hosts can serve its traffic."""
         return self._coordinators.can_leave_rotation(now)
@@ -244,6 +252,7 @@
             self._router.is_ready,
             self._is_leaving,
             [position for position in positions if position.instance],
+            self._capacity,
         )
         self._send(relay, subscription)
 
@@ -256,6 +265,7 @@
             self._is_leaving,
             instance,
             change_number,
+            self._capacity,
         )
         self._send(host, subscription)
 
@@ -271,7 +281,7 @@
     def _apply_relayed_updates(self, message: RelayedUpdate, now: float) -> None:
         relay_update = message.updates[0]
         relay = relay_update.host
-        self._control.record_relayed(relay, now)
+        self._control.record_relayed(relay, relay_update.instance, now)
         for update, age_ms in zip(message.updates, message.ages_ms, strict=False):
             self._apply_update(update, now - age_ms / 1000, now)
             self._request_host_list(update, relay, True, now)
