Explain where a new flow would be placed

Operators could not ask where a flow would go now and why; logs tell it only afterwards.

An entry host answers GET /placement at its metrics address with the route, the service and share, the coordinator, the queue, the servers in the order of the choice, and the expected outcome with its reason. kingcuppulley explain-placement prints the answer. Other paths are answered with metrics as before. PlacementExplainer uses read-only methods of the queue, the placement and the server choice; it draws no random number.

A load that is explained flow by flow is placed exactly as one that is not, and each explained outcome is the decision (test_explain_placement.py; loads of 0.5, 1.0 and 2.5 of the servers' capacity, and cold servers). The output in docs/operate/explain-placement.md is of a run of one control host and three entry hosts on loopback.

--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -37,6 +37,10 @@
 from kingcuppulley.fabric.cookie_router import CookieRouter, CookieTransport
 from kingcuppulley.fabric.formats import PacketFormat
 from kingcuppulley.fabric.placement import Placement
+from kingcuppulley.fabric.placement_explanation import (
+    PlacementExplainer,
+    PlacementExplanation,
+)
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.operators.routing import RoutingConfiguration, RoutingTable
 
@@ -124,6 +128,14 @@
             metrics,
             FlowLog(log, self._known_state),
         )
+        self._explainer = PlacementExplainer(
+            address,
+            zone,
+            packet_format,
+            self._routing_table,
+            self._coordinators,
+            self._placement,
+        )
 
     @property
     def router(self) -> CookieRouter:
@@ -158,6 +170,12 @@
         gauges["flows_waiting"] = self._placement.queued_count
         gauges["is_ready"] = float(self.is_ready)
 
+    def explain_placement(
+        self, flow: bytes, route_key: bytes, now: float
+    ) -> PlacementExplanation:
+        """Explain where a new flow would be placed now, without placing it."""
+        return self._explainer.explain(flow, route_key, self._router.is_ready, now)
+
     def can_leave_rotation(self, now: float) -> bool:
         """Return whether the zone's other hosts can serve its traffic."""
         return self._coordinators.can_leave_rotation(now)
--- a/src/kingcuppulley/errors.py
+++ b/src/kingcuppulley/errors.py
@@ -117,6 +117,15 @@
         super().__init__(f"invalid routing configuration: {location}: {remedy}")
 
 
+class InvalidPlacementQueryError(KingcuppulleyError):
+    """Report a question for a placement that names no usable route or caller."""
+
+    def __init__(self, parameter: str, value: str, remedy: str) -> None:
+        self.fault = f"{parameter}={value}"
+        self.remedy = remedy
+        super().__init__(f"{self.fault}: {remedy}")
+
+
 class InvalidHeartbeatError(KingcuppulleyError):
     """Report a heartbeat that does not describe a usable backend server."""
 
--- a/src/kingcuppulley/fabric/flow_queue.py
+++ b/src/kingcuppulley/fabric/flow_queue.py
@@ -241,6 +241,31 @@
             < request.answer_deadline
         )
 
+    def count_within_objective(self, now: float) -> int:
+        """Return how many queued flows can still meet their objective."""
+        answered_at = now + self._average_duration_seconds
+        return sum(
+            self._is_sendable(request, now)
+            and answered_at <= request.objective_deadline
+            for _, _, request in self._within_objective
+        )
+
+    def can_add(
+        self, request: FlowRequest, now: float, within_objective_limit: int
+    ) -> bool:
+        """Return whether `add` would queue a flow; nothing is changed."""
+        is_within_objective = (
+            now + self._average_duration_seconds <= request.objective_deadline
+        )
+        return (
+            not self._by_flow
+            or (
+                is_within_objective
+                and len(self._within_objective) < within_objective_limit
+            )
+            or self.can_meet_deadline(request, now)
+        )
+
     def requests_to_drop(self, now: float) -> list[FlowRequest]:
         """Return abandoned flows and those that cannot be placed in time."""
         self._update_order(now)
--- a/src/kingcuppulley/fabric/formats.py
+++ b/src/kingcuppulley/fabric/formats.py
@@ -73,6 +73,14 @@
     def read(self, packet: bytes) -> FlowPacket:
         """Return the fields of a packet, or raise `MalformedPacketError`."""
 
+    def identify_flow(
+        self, route: tuple[bytes, int], caller: tuple[bytes, int]
+    ) -> tuple[bytes, bytes]:
+        """Return the flow and the route key of a caller's packets to a route.
+
+        Both are given as a packed IPv4 address and a port.
+        """
+
     def opening_age_seconds(self, retransmission: int) -> float:
         """Return how many seconds after the first packet a retransmission is sent."""
 
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -127,6 +127,15 @@
         """Return how many flows are counted as open."""
         return self._choice.open_count
 
+    @property
+    def discovery_deadline(self) -> float:
+        """Return until when more backend servers may still be discovered."""
+        return self._discovery_deadline
+
+    def queue_of(self, service: str) -> FlowQueue | None:
+        """Return the queue of a service, or None if no flow of it was queued yet."""
+        return self._queues.get(service)
+
     def set_discovery_deadline(self, deadline: float) -> None:
         """Set until when more backend servers may still be discovered.
 
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -49,6 +49,45 @@
 _UNREACHABLE_ZONE_RANK = 3
 _COLD_RANK = 2
 _SUSPECT_RANK = 1
+_RANK_NAMES = ("available", "suspect", "cold", "zone unreachable")
+
+
+class RankedServer:
+    """Describe a backend server as the choice sees it, without the tie break.
+
+    `may_be_used` is false for a server that gets no flow before a later time.
+    """
+
+    __slots__ = ("target", "rank", "flows", "cost", "may_be_used")
+
+    def __init__(
+        self,
+        target: RegisteredTarget,
+        rank: int,
+        flows: int,
+        cost: float,
+        may_be_used: bool,
+    ) -> None:
+        self.target = target
+        self.rank = rank
+        self.flows = flows
+        self.cost = cost
+        self.may_be_used = may_be_used
+
+    @property
+    def rank_name(self) -> str:
+        """Return the rank in words."""
+        return _RANK_NAMES[self.rank]
+
+    @property
+    def has_capacity(self) -> bool:
+        """Return whether a flow would be placed on the server now."""
+        return _has_capacity(self.target, self.flows)
+
+    @property
+    def counted_slots(self) -> int:
+        """Return the slots that count towards the total of the service."""
+        return 0 if self.rank == _UNREACHABLE_ZONE_RANK else self.target.slots
 
 
 class ServerChoice:
@@ -175,6 +214,24 @@
                 index.remove(target.cookie)
         return self._compare_all(service, share, excluded_cookies, now)
 
+    def ranked_servers(
+        self, service: str, share: int, now: float
+    ) -> list[RankedServer]:
+        """Return the servers that a share's flows may use, best first.
+
+        Nothing is changed, and no random number is drawn.
+        """
+        servers = []
+        for target in self._candidates(service, share):
+            load = self._loads.get(target.cookie) or ServerLoad()
+            rank = self._rank(target, load, now)
+            flows = load.total_flows
+            cost = load_cost(target, flows, is_own=self._is_own(target, share))
+            may_be_used = self._may_use(target, rank, load, now)
+            servers.append(RankedServer(target, rank, flows, cost, may_be_used))
+        servers.sort(key=lambda server: (server.rank, server.cost, server.target.name))
+        return servers
+
     def _index_of(self, service: str, share: int, now: float) -> ServerIndex:
         indexes = self._indexes.setdefault(service, {})
         index = indexes.get(share)
--- a/src/kingcuppulley/internal/asyncio_http.py
+++ b/src/kingcuppulley/internal/asyncio_http.py
@@ -24,6 +24,7 @@
     __slots__ = (
         "method",
         "path",
+        "query",
         "body",
         "_connection",
         "_keeps_alive",
@@ -34,12 +35,14 @@
         self,
         method: bytes,
         path: bytes,
+        query: bytes,
         body: bytes,
         keeps_alive: bool,
         connection: _Connection,
     ) -> None:
         self.method = method
         self.path = path
+        self.query = query
         self.body = body
         self._connection = connection
         self._keeps_alive = keeps_alive
@@ -144,10 +147,11 @@
         if self.is_disconnected:
             return
         self._restart_idle_timer()
-        path = self._path.partition(b"?")[0]
+        path, _, query = self._path.partition(b"?")
         request = HttpRequest(
             self._parser.get_method(),
             path,
+            query,
             b"".join(self._body),
             self._parser.should_keep_alive(),
             self,
--- a/src/kingcuppulley/operators/command_line.py
+++ b/src/kingcuppulley/operators/command_line.py
@@ -21,6 +21,13 @@
     AdministrationError,
     UnreachableError,
 )
+from kingcuppulley.operators.placement_query import (
+    EntryHostUnreachableError,
+    PlacementQueryRefusedError,
+    decode_explanation,
+    fetch_placement,
+    render_explanation,
+)
 from kingcuppulley.settings import (
     load_control_settings,
     load_entry_settings,
@@ -197,6 +204,27 @@
     typer.echo(flow_id(address, port, called, called_port))
 
 
+@application.command("explain-placement")
+def explain_placement(
+    host: Annotated[
+        str, typer.Argument(help="HOST:PORT at which an entry host serves its metrics.")
+    ],
+    route: Annotated[
+        str, typer.Option("--route", help="ADDRESS:PORT that the caller connects to.")
+    ],
+    caller: Annotated[
+        str, typer.Option("--caller", help="ADDRESS:PORT of the caller.")
+    ],
+    as_json: JsonOption = False,
+) -> None:
+    """Explain where a new flow would be placed now, and why, without placing it."""
+    with _errors_as_exit_codes():
+        body = fetch_placement(host, route, caller)
+        explanation = decode_explanation(host, body)
+        # As received: a newer host may add fields that this command does not know.
+        typer.echo(body.decode() if as_json else render_explanation(explanation))
+
+
 @application.command()
 def capacity(
     measurement: Annotated[
@@ -408,12 +436,15 @@
         for fault in group.exceptions:
             typer.echo(str(fault), err=True)
         raise typer.Exit(ExitCode.FAULTY_SETTINGS) from group
+    except PlacementQueryRefusedError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.REFUSED) from error
     except AdministrationError as error:
         typer.echo(str(error), err=True)
         is_conflict = error.status == 409
         code = ExitCode.CONFLICT if is_conflict else ExitCode.REFUSED
         raise typer.Exit(code) from error
-    except UnreachableError as error:
+    except (UnreachableError, EntryHostUnreachableError) as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(ExitCode.UNREACHABLE) from error
     except (KingcuppulleyError, OSError, tomllib.TOMLDecodeError) as error:
--- a/src/kingcuppulley/platform/packets.py
+++ b/src/kingcuppulley/platform/packets.py
@@ -19,6 +19,11 @@
 _FLAGS_OFFSET = 28
 _LENGTH_OFFSET = 32
 _FLOW_SLICE = slice(12, 24)
+# The fields of a flow in order: the destination's port, the source's address and port,
+# and the destination's address.
+_FLOW = struct.Struct("!H4sH4s")
+_FLOW_PORT_SLICE = slice(0, 2)
+_FLOW_ADDRESS_SLICE = slice(8, 12)
 _CALLED_ADDRESS_SLICE = slice(20, 24)
 _CALLED_PORT_SLICE = slice(12, 14)
 _ACKNOWLEDGEMENT = struct.Struct("!I")
@@ -84,6 +89,16 @@
             sequence,
         )
 
+    def identify_flow(
+        self, route: tuple[bytes, int], caller: tuple[bytes, int]
+    ) -> tuple[bytes, bytes]:
+        """Return the flow and the route key of a caller's packets to a route.
+
+        Both are given as a packed IPv4 address and a port.
+        """
+        flow = _FLOW.pack(route[1], *caller, route[0])
+        return flow, flow[_FLOW_ADDRESS_SLICE] + flow[_FLOW_PORT_SLICE]
+
     def retransmission_due_seconds(self, retransmission: int) -> float:
         """Return how many seconds after the first packet the next one is due.
 
@@ -116,9 +131,7 @@
 
     def reset(self, flow: bytes) -> tuple[bytes, str]:
         """Return a reset for a flow and the address of the caller to send it to."""
-        called_port, caller_address, caller_port, called_address = struct.unpack(
-            "!H4sH4s", flow
-        )
+        called_port, caller_address, caller_port, called_address = _FLOW.unpack(flow)
         packet = _HEADER.pack(
             0,
             0,
--- a/src/kingcuppulley/seeded/daemon.py
+++ b/src/kingcuppulley/seeded/daemon.py
@@ -6,10 +6,15 @@
 import gc
 import signal
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any, Protocol
 
-from kingcuppulley.internal.asyncio_http import HttpRequest, listen_requests
+from kingcuppulley.internal.asyncio_http import (
+    HttpRequest,
+    HttpRequestHandler,
+    listen_requests,
+)
 from kingcuppulley.internal.counters import METRICS_CONTENT_TYPE, Metrics
 from kingcuppulley.internal.event_log import EventLog
 from kingcuppulley.internal.ticker import Ticker
@@ -61,10 +66,17 @@
     address: SocketAddress | None,
     metrics: Metrics,
     update_gauges: Callable[[dict[str, float]], None],
+    handlers: Mapping[bytes, HttpRequestHandler] = MappingProxyType({}),
 ) -> None:
-    """Answer every HTTP request at the metrics address with all metrics."""
+    """Answer HTTP requests at the metrics address.
+
+    `handlers` answer the paths that they name; all others are answered with metrics.
+    """
 
     def answer(request: HttpRequest) -> None:
+        if request.path in handlers:
+            handlers[request.path](request)
+            return
         update_gauges(metrics.gauges)
         request.answer(200, metrics.render().encode(), METRICS_CONTENT_TYPE)
 
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -17,6 +17,7 @@
     RelayedUpdate,
 )
 from kingcuppulley.fabric.formats import PacketFormat
+from kingcuppulley.fabric.placement_explanation import PlacementExplanation
 from kingcuppulley.internal.asyncio_http import HttpRequest, listen_requests
 from kingcuppulley.internal.clock import ProcessClock
 from kingcuppulley.internal.counters import Metrics
@@ -26,6 +27,7 @@
 from kingcuppulley.internal.ticker import Ticker
 from kingcuppulley.operators.routing import RoutingConfiguration
 from kingcuppulley.seeded.daemon import serve_metrics
+from kingcuppulley.seeded.placement_answer import PLACEMENT_PATH, PlacementAnswer
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 TICK_INTERVAL_SECONDS = 0.02
@@ -121,6 +123,7 @@
             Random(os.urandom(8)),
             round(settings.processor_cores * MILLICORES_PER_CORE),
         )
+        self._placement_answer = PlacementAnswer(packet_format, self._explain_placement)
         self._leave_plan: LeavePlan | None = None
         self._ticker = Ticker(loop, TICK_INTERVAL_SECONDS, self._tick)
 
@@ -135,7 +138,11 @@
                 self._loop, ready.host, ready.port, self._answer_readiness_probe
             )
         await serve_metrics(
-            self._loop, settings.metrics, self.metrics, self._update_gauges
+            self._loop,
+            settings.metrics,
+            self.metrics,
+            self._update_gauges,
+            {PLACEMENT_PATH: self._placement_answer.answer},
         )
         self._ticker.start()
         # Subscribe at once: the host is not ready before control hosts have answered.
@@ -195,5 +202,8 @@
             status = 200 if self._host.is_ready else 503
         request.answer(status, b"", "text/plain")
 
+    def _explain_placement(self, flow: bytes, route_key: bytes) -> PlacementExplanation:
+        return self._host.explain_placement(flow, route_key, self._clock.now())
+
     def _update_gauges(self, gauges: dict[str, float]) -> None:
         self._host.update_gauges(gauges, self._clock.now())
