--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -5,7 +5,7 @@
 import zlib
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from kingcuppulley.backend_servers.target_registry import (
     RegisteredTarget,
@@ -41,6 +41,9 @@
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.operators.routing import RoutingConfiguration, RoutingTable
 
+if TYPE_CHECKING:
+    from kingcuppulley.fabric.placement_explanation import PlacementExplanation
+
 SUBSCRIPTION_INTERVAL_SECONDS = 0.25
 FETCH_RETRY_INTERVAL_SECONDS = 0.15
 COLD_START_MARGIN_SECONDS = 0.5
@@ -84,6 +87,7 @@
         self._address = address
         self._zone = zone
         self._capacity = capacity
+        self._packet_format = packet_format
         self._decode = decode
         self._send = send
         self._metrics = metrics
@@ -164,6 +168,24 @@
         route = self._routing_table.route(key)
         return LOWEST_PRIORITY if route is None else route.priority
 
+    def explain_placement(
+        self, flow: bytes, route_key: bytes, now: float
+    ) -> PlacementExplanation:
+        """Explain where a new flow would be placed now, without placing it."""
+        # Imported when it is needed, because entry hosts start often and on small
+        # machines.
+        from kingcuppulley.fabric.placement_explanation import PlacementExplainer
+
+        explainer = PlacementExplainer(
+            self._address,
+            self._zone,
+            self._packet_format,
+            self._routing_table,
+            self._coordinators,
+            self._placement,
+        )
+        return explainer.explain(flow, route_key, self._router.is_ready, now)
+
     def can_leave_rotation(self, now: float) -> bool:
         """Return whether the zone's other hosts can serve its traffic."""
         return self._coordinators.can_leave_rotation(now)
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -35,6 +35,8 @@
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 MAXIMUM_PACKET_BYTES = 2048
 MILLICORES_PER_CORE = 1000
+# Where an operator's question for a placement is answered, beside the metrics.
+PLACEMENT_PATH = b"/placement"
 
 
 class PacketSocket:
@@ -114,6 +116,7 @@
     ) -> None:
         self._settings = settings
         self._loop = loop
+        self._packet_format = packet_format
         self._ready_path = ready_path
         self._clock = ProcessClock()
         self.metrics = Metrics()
@@ -161,7 +164,11 @@
                 self._loop, ready.host, ready.port, self._answer_readiness_probe
             )
         await serve_metrics(
-            self._loop, settings.metrics, self.metrics, self._update_gauges
+            self._loop,
+            settings.metrics,
+            self.metrics,
+            self._update_gauges,
+            {PLACEMENT_PATH: self._answer_placement_query},
         )
         self._ticker.start()
         # Subscribe at once: the host is not ready before control hosts have answered.
@@ -235,6 +242,19 @@
             status = 200 if self._host.is_ready else 503
         request.answer(status, b"", "text/plain")
 
+    def _answer_placement_query(self, request: HttpRequest) -> None:
+        # Imported when it is needed, because entry hosts start often and on small
+        # machines.
+        from kingcuppulley.seeded.placement_answer import PlacementAnswer
+
+        answer = PlacementAnswer(
+            self._packet_format,
+            lambda flow, route_key: self._host.explain_placement(
+                flow, route_key, self._clock.now()
+            ),
+        )
+        answer.answer(request)
+
     def _update_gauges(self, gauges: dict[str, float]) -> None:
         self._host.update_gauges(gauges, self._clock.now())
         if self._pacer is not None:
--- a/tests/cover/test_small_start.py
+++ b/tests/cover/test_small_start.py
@@ -16,7 +16,16 @@
 
 # On a host with a quarter of a core, importing any of these takes a noticeable part of
 # a restart.
-SLOW_TO_IMPORT = ["twisted", "eliot", "pynng", "opentelemetry", "typer", "ssl", "hdrh"]
+SLOW_TO_IMPORT = [
+    "twisted",
+    "eliot",
+    "pynng",
+    "opentelemetry",
+    "typer",
+    "ssl",
+    "hdrh",
+    "kingcuppulley.fabric.placement_explanation",
+]
 MODULES_BY_ROLE = {
     "entry": "kingcuppulley.seeded.entry, kingcuppulley.platform.packets",
     "control": "kingcuppulley.seeded.control, kingcuppulley.platform.calls",
