Start the average work of a route from the service's average

Cause: with a fixed weight of 0.02 a route needs some 50 flows to be told from others. Change: averages over up to 50 durations; a new route starts as 8 durations of the service's average. Weights stop at priority 30, so that none becomes zero.

--- a/src/kingcuppulley/fabric/request_cost.py
+++ b/src/kingcuppulley/fabric/request_cost.py
@@ -8,22 +8,26 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from math import log2
 
 # Weight of a priority level relative to that of the next higher priority.
 LEVEL_WEIGHT_RATIO = 0.5
+# Lower priorities have the weight of this one, so that no weight becomes zero.
+LOWEST_WEIGHTED_PRIORITY = 30
 INITIAL_WORK_SECONDS = 0.05
 # A duration of zero would make the cost of a second infinite.
 MINIMUM_WORK_SECONDS = 0.0005
-# Weight of the latest duration in the moving averages.  The noise of an average must
-# stay far below a factor of 1.4, from which works count as different.
-WORK_WEIGHT = 0.02
+# A route's average starts as if it had this many durations of the service's average.
+INITIAL_DURATIONS = 8
+# Beyond this number of durations, an average forgets old ones.
+MAXIMUM_DURATIONS = 50
+# Works within this ratio count as equal: averages of equal works differ by chance.
+EQUAL_WORK_RATIO = 1.5
 MAXIMUM_ROUTES = 256
 
 
 def priority_weight(priority: int) -> float:
     """Return the weight of a priority; 0 is the highest priority and has weight 1."""
-    return LEVEL_WEIGHT_RATIO ** max(priority, 0)
+    return LEVEL_WEIGHT_RATIO ** min(max(priority, 0), LOWEST_WEIGHTED_PRIORITY)
 
 
 def cost_per_second(priority: int, work_seconds: float) -> float:
@@ -35,6 +39,21 @@
     return priority_weight(priority) / max(work_seconds, MINIMUM_WORK_SECONDS)
 
 
+class _AverageWork:
+    """Hold a moving average of durations."""
+
+    __slots__ = ("seconds", "_duration_count")
+
+    def __init__(self, initial_seconds: float, initial_count: int) -> None:
+        self.seconds = initial_seconds
+        self._duration_count = initial_count
+
+    def record(self, seconds: float) -> None:
+        """Add a duration."""
+        self._duration_count = min(self._duration_count + 1, MAXIMUM_DURATIONS)
+        self.seconds += (seconds - self.seconds) / self._duration_count
+
+
 class RouteWork:
     """Hold the average work of the flows of each route of a service.
 
@@ -42,29 +61,26 @@
     route whose last duration is the oldest is evicted.
     """
 
-    __slots__ = ("_average_seconds", "_by_route")
+    __slots__ = ("_service_average", "_by_route")
 
     def __init__(self) -> None:
-        self._average_seconds = INITIAL_WORK_SECONDS
-        self._by_route: OrderedDict[bytes, float] = OrderedDict()
+        self._service_average = _AverageWork(INITIAL_WORK_SECONDS, 0)
+        self._by_route: OrderedDict[bytes, _AverageWork] = OrderedDict()
 
     def record(self, route: bytes, seconds: float) -> None:
         """Record how long a flow of a route occupied a server."""
         seconds = max(seconds, MINIMUM_WORK_SECONDS)
-        route_average = self.seconds(route)
-        self._average_seconds += WORK_WEIGHT * (seconds - self._average_seconds)
-        self._by_route[route] = route_average + WORK_WEIGHT * (seconds - route_average)
+        self._service_average.record(seconds)
+        average = self._by_route.get(route)
+        if average is None:
+            initial_seconds = self._service_average.seconds
+            average = _AverageWork(initial_seconds, INITIAL_DURATIONS)
+            self._by_route[route] = average
+        average.record(seconds)
         self._by_route.move_to_end(route)
         if len(self._by_route) > MAXIMUM_ROUTES:
             self._by_route.popitem(last=False)
 
     def seconds(self, route: bytes) -> float:
         """Return the average work of a route."""
-        return self._by_route.get(route, self._average_seconds)
-
-    def level(self, route: bytes) -> int:
-        """Return the work of a route in powers of two of the service's average.
-
-        Routes of the same level count as routes of equal work.
-        """
-        return round(log2(self.seconds(route) / self._average_seconds))
+        return self._by_route.get(route, self._service_average).seconds
