Share a full service between routes by priority and work

Cause: queued flows were ordered by priority and arrival; a burst of one route took the capacity of the others, and a route of slow requests counted like one of fast requests. Change: FairShares releases routes by start-time fair queueing, measured in work, and names the flows that give way; Placement measures work without the wait for a slot. FlowRequest moves to flow_request.py, and flow_queue still exports it. Routes of equal priority and work keep the former order.

--- a/src/kingcuppulley/fabric/flow_queue.py
+++ b/src/kingcuppulley/fabric/flow_queue.py
@@ -7,13 +7,17 @@
 from __future__ import annotations
 
 import heapq
-from itertools import count
+
+from kingcuppulley.fabric.fair_share import (
+    MAXIMUM_CONSECUTIVE_WITHIN_OBJECTIVE,
+    FairShare,
+    FairShares,
+)
+from kingcuppulley.fabric.flow_request import FlowRequest as FlowRequest
 
 # Shorter than the time after which callers retransmit an opening packet: a later
 # refusal could reset a flow that another host has placed in the meantime.
 REFUSAL_WINDOW_SECONDS = 0.18
-ANSWER_MARGIN_SECONDS = 0.02
-RETRANSMISSION_GRACE_SECONDS = 0.06
 # Last part of the refusal window, in which flows that cannot meet their deadline are
 # refused; long enough for a tick to fall into it.
 REFUSAL_DECISION_SECONDS = 0.05
@@ -21,103 +25,25 @@
 RELEASE_STALL_TIMEOUT_SECONDS = 0.15
 # Weight of the latest interval between releases in the moving average.
 RELEASE_INTERVAL_WEIGHT = 0.2
-# This many flows within their objective are released before one past its objective.
-MAXIMUM_CONSECUTIVE_WITHIN_OBJECTIVE = 2
 INITIAL_AVERAGE_DURATION_SECONDS = 0.05
 # Weight of the latest duration in the moving average.
 DURATION_WEIGHT = 0.1
 
 
-class FlowRequest:
-    """Ask for a backend server for one new flow.
-
-    Attributes
-    ----------
-    retransmission : int
-        How many times the caller sent the packet before.
-    priority : int
-        Priority of the route; 0 is the most urgent.
-    origin : str
-        Entry host that received the packet.
-    objective_deadline : float
-        Until when an answer of the server meets the objective of the route.
-    answer_deadline : float
-        When the caller abandons the flow if no server has answered.
-    next_retransmission_at : float
-        When the caller retransmits the packet, or abandons the flow after the last
-        retransmission.
-    refusal_deadline : float
-        Until when a refusal cannot reset a flow that was placed in the meantime.
-    route : bytes
-        Destination address and port of the flow's packets, which identify its route.
-    queued_since : float
-        When the first packet of the flow was queued.
-    """
-
-    __slots__ = (
-        "flow",
-        "service",
-        "retransmission",
-        "packet",
-        "priority",
-        "origin",
-        "objective_deadline",
-        "answer_deadline",
-        "next_retransmission_at",
-        "route",
-        "refusal_deadline",
-        "queued_since",
-    )
-
-    def __init__(
-        self,
-        flow: bytes,
-        service: str,
-        retransmission: int,
-        packet: bytes,
-        priority: int,
-        origin: str,
-        objective_deadline: float,
-        answer_deadline: float,
-        next_retransmission_at: float,
-        route: bytes = b"",
-    ) -> None:
-        self.flow = flow
-        self.service = service
-        self.retransmission = retransmission
-        self.packet = packet
-        self.priority = priority
-        self.origin = origin
-        self.objective_deadline = objective_deadline
-        self.answer_deadline = answer_deadline
-        self.next_retransmission_at = next_retransmission_at
-        self.route = route
-        self.refusal_deadline = 0.0
-        self.queued_since = 0.0
-
-    def may_be_sent(self, now: float) -> bool:
-        """Return whether a server's answer would precede the next retransmission.
-
-        Queued flows are sent only then.  A retransmission therefore proves that no host
-        has sent the flow to a server that answers, and the host that receives the
-        retransmission may refuse the flow.
-        """
-        return now < self.next_retransmission_at - ANSWER_MARGIN_SECONDS
-
-    def is_abandoned(self, now: float) -> bool:
-        """Return whether a retransmission is overdue or the caller has timed out."""
-        overdue_at = self.next_retransmission_at + RETRANSMISSION_GRACE_SECONDS
-        return now >= min(self.answer_deadline, overdue_at)
-
-
 class FlowQueue:
     """Queue the flows of one service until a server has free capacity.
 
-    Flows that can still meet their objective are released first, most urgent first.
-    After every `MAXIMUM_CONSECUTIVE_WITHIN_OBJECTIVE` of them a flow past its objective
-    is released, as long as its caller still waits: after an outage nearly all flows are
+    Flows that can still meet their objective are released first.  After every
+    `MAXIMUM_CONSECUTIVE_WITHIN_OBJECTIVE` of them a flow past its objective is
+    released, as long as its caller still waits: after an outage nearly all flows are
     past their objective, and callers that are refused come back at once with new flows.
 
+    Routes of different priority or work are released by weighted fair queueing (see
+    `FairShares`), each with its own turns of flows past their objective, and flows of a
+    route beyond its fair share give way to those of others.  Flows of a route that can
+    meet their objective are released in the order of their packets, the others by the
+    time at which their caller gives up.
+
     Attributes
     ----------
     discovery_deadline : float
@@ -128,26 +54,21 @@
     __slots__ = (
         "discovery_deadline",
         "_by_flow",
-        "_within_objective",
-        "_past_objective",
-        "_sequence",
+        "_shares",
+        "_displaced",
         "_average_duration_seconds",
         "_last_released_at",
         "_release_interval",
-        "_consecutive_releases",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, shares: FairShares | None = None) -> None:
         self.discovery_deadline = 0.0
         self._by_flow: dict[bytes, FlowRequest] = {}
-        # Entries of replaced and removed flows stay until they reach the heap's top.
-        self._within_objective: list[tuple[int, int, FlowRequest]] = []
-        self._past_objective: list[tuple[int, float, int, FlowRequest]] = []
-        self._sequence = count()
+        self._shares = FairShares() if shares is None else shares
+        self._displaced: list[FlowRequest] = []
         self._average_duration_seconds = INITIAL_AVERAGE_DURATION_SECONDS
         self._last_released_at = 0.0
         self._release_interval = 0.0
-        self._consecutive_releases = 0
 
     def __len__(self) -> int:
         return len(self._by_flow)
@@ -155,16 +76,26 @@
     def __contains__(self, flow: bytes) -> bool:
         return flow in self._by_flow
 
-    def record_duration(self, seconds: float) -> None:
-        """Record how long an answered flow of the service lasted."""
+    def record_duration(
+        self, seconds: float, route: bytes = b"", waited_seconds: float | None = 0.0
+    ) -> None:
+        """Record how long an answered flow lasted, and how long it waited for a slot.
+
+        The work of its route is the duration without the wait; it is not recorded if
+        the wait is unknown.
+        """
         self._average_duration_seconds += DURATION_WEIGHT * (
             seconds - self._average_duration_seconds
         )
+        if waited_seconds is not None:
+            self._shares.record_work(route, seconds - waited_seconds)
 
     def has_within_objective(self, now: float) -> bool:
         """Return whether a queued flow can still meet its objective."""
+        if not self._shares.has_shares:
+            return False
         self._update_order(now)
-        return bool(self._within_objective)
+        return self._shares.within_objective_count > 0
 
     def add(
         self, request: FlowRequest, now: float, within_objective_limit: int
@@ -172,11 +103,13 @@
         """Queue a flow unless it cannot meet its deadline; return whether it is queued.
 
         A retransmission replaces the earlier packet of its flow.  Flows beyond
-        `within_objective_limit` count as past their objective from the start.
+        `within_objective_limit` count as past their objective from the start.  The
+        flow may displace others: see `take_displaced`.
         """
         if not self._by_flow:
             self._last_released_at = now
             self._release_interval = 0.0
+            self._shares.restart()
         earlier = self._by_flow.get(request.flow)
         request.queued_since = now if earlier is None else earlier.queued_since
         request.refusal_deadline = now + REFUSAL_WINDOW_SECONDS
@@ -184,62 +117,57 @@
         is_within_objective = (
             now + self._average_duration_seconds <= request.objective_deadline
         )
-        if is_within_objective and len(self._within_objective) < within_objective_limit:
-            entry = (request.priority, next(self._sequence), request)
-            heapq.heappush(self._within_objective, entry)
+        if is_within_objective and self._make_room(
+            request, now, within_objective_limit
+        ):
+            self._shares.add_within_objective(request)
             return True
         if self.can_meet_deadline(request, now):
-            self._add_past_objective(request)
+            self._shares.add_past_objective(request)
+            self._displace_past_objective(request, now)
             return True
         self.remove(request)
         return False
 
     def first(self, now: float) -> FlowRequest | None:
         """Return the flow to release next, or None if none may be sent now."""
+        if not self._shares.has_shares:
+            return None
         self._update_order(now)
-        if self._past_objective and (
-            not self._within_objective
-            or self._consecutive_releases >= MAXIMUM_CONSECUTIVE_WITHIN_OBJECTIVE
-        ):
-            return self._past_objective[0][-1]
-        return self._within_objective[0][-1] if self._within_objective else None
+        return self._shares.next_flow()
 
     def release(self, request: FlowRequest, now: float) -> None:
         """Remove the flow that `first` returned, because a server can serve it."""
-        is_past_objective = (
-            bool(self._past_objective) and self._past_objective[0][-1] is request
-        )
-        self._consecutive_releases = (
-            0 if is_past_objective else self._consecutive_releases + 1
-        )
         gap = now - self._last_released_at
         self._release_interval += RELEASE_INTERVAL_WEIGHT * (
             gap - self._release_interval
         )
         self._last_released_at = now
+        self._shares.record_release(request)
         del self._by_flow[request.flow]
 
     def remove(self, request: FlowRequest) -> None:
         """Remove a flow that gets no server."""
         del self._by_flow[request.flow]
 
+    def take_displaced(self) -> list[FlowRequest]:
+        """Remove and return the flows to refuse in favour of the flow added last.
+
+        Each is of a route beyond its fair share, and in its refusal window.
+        """
+        displaced = self._displaced
+        self._displaced = []
+        for request in displaced:
+            self.remove(request)
+        return displaced
+
     def can_meet_deadline(self, request: FlowRequest, now: float) -> bool:
         """Return whether a flow is expected to be released while its caller waits.
 
         The estimate is for a flow past its objective and uses the recent release rate.
         """
-        if now < self.discovery_deadline:
-            return True
-        gap = now - self._last_released_at
-        if gap > RELEASE_STALL_TIMEOUT_SECONDS:
-            return False
-        past_objective_interval = max(self._release_interval, gap) * (
-            1 + MAXIMUM_CONSECUTIVE_WITHIN_OBJECTIVE
-        )
-        return (
-            now + past_objective_interval * (len(self._past_objective) + 1)
-            < request.answer_deadline
-        )
+        flows_before = self._shares.count_before(self._shares.share_of(request))
+        return self._is_released_in_time(request, flows_before, now)
 
     def requests_to_drop(self, now: float) -> list[FlowRequest]:
         """Return abandoned flows and those that cannot be placed in time."""
@@ -254,32 +182,101 @@
             )
         ]
 
+    def _make_room(self, request: FlowRequest, now: float, limit: int) -> bool:
+        """Return whether a flow may be queued as within its objective.
+
+        If there are as many as `limit`, the newest one of a route beyond its fair share
+        counts as past its objective instead, or is refused.
+        """
+        if self._shares.within_objective_count < limit:
+            return True
+        other = self._shares.beyond_within_objective(self._shares.share_of(request))
+        if other is None:
+            return False
+        _, displaced = other.within_objective.pop()
+        if not self._is_queued(displaced):
+            return True
+        is_refusable = now < displaced.refusal_deadline
+        if is_refusable and not self.can_meet_deadline(displaced, now):
+            self._displaced.append(displaced)
+        else:
+            self._shares.add_past_objective(displaced)
+        return True
+
+    def _displace_past_objective(self, request: FlowRequest, now: float) -> None:
+        """Refuse a flow that cannot be released in time because of a new one.
+
+        It is the newest one past its objective, of a route beyond its fair share.
+        """
+        share = self._shares.share_of(request)
+        for other in self._shares.beyond_past_objective(share):
+            displaced = self._newest_refusable(other, now)
+            flows_before = self._shares.count_before(other) - 1
+            if displaced is not None and not self._is_released_in_time(
+                displaced, flows_before, now
+            ):
+                self._displaced.append(displaced)
+                other.remove_past_objective(displaced)
+                return
+
+    def _newest_refusable(self, share: FairShare, now: float) -> FlowRequest | None:
+        """Return the newest flow past its objective that was not placed meanwhile."""
+        refusable = (
+            entry
+            for entry in share.past_objective
+            if self._is_queued(entry[-1]) and now < entry[-1].refusal_deadline
+        )
+        newest = max(refusable, default=None)
+        return newest[-1] if newest is not None else None
+
+    def _is_released_in_time(
+        self, request: FlowRequest, flows_before: float, now: float
+    ) -> bool:
+        if now < self.discovery_deadline:
+            return True
+        gap = now - self._last_released_at
+        if gap > RELEASE_STALL_TIMEOUT_SECONDS:
+            return False
+        past_objective_interval = max(self._release_interval, gap) * (
+            1 + MAXIMUM_CONSECUTIVE_WITHIN_OBJECTIVE
+        )
+        return (
+            now + past_objective_interval * (flows_before + 1) < request.answer_deadline
+        )
+
     def _update_order(self, now: float) -> None:
-        while self._within_objective:
-            request = self._within_objective[0][-1]
-            if not self._is_sendable(request, now):
-                heapq.heappop(self._within_objective)
-            elif now + self._average_duration_seconds > request.objective_deadline:
-                heapq.heappop(self._within_objective)
-                self._add_past_objective(request)
-            else:
-                break
-        while self._past_objective:
-            if self._is_sendable(self._past_objective[0][-1], now):
-                break
-            heapq.heappop(self._past_objective)
+        shares = self._shares
+        while any([self._update_within(share, now) for share in shares.within_heads()]):
+            pass
+        while any([self._update_past(share, now) for share in shares.past_heads()]):
+            pass
+        shares.evict_idle()
+
+    def _update_within(self, share: FairShare, now: float) -> bool:
+        """Return whether a share's first flow within its objective left its place."""
+        request = share.within_objective[0][-1]
+        is_sendable = self._is_sendable(request, now)
+        if (
+            is_sendable
+            and now + self._average_duration_seconds <= request.objective_deadline
+        ):
+            return False
+        share.within_objective.popleft()
+        if is_sendable:
+            self._shares.add_past_objective(request)
+        return True
+
+    def _update_past(self, share: FairShare, now: float) -> bool:
+        """Return whether a share's first flow past its objective left its place."""
+        if self._is_sendable(share.past_objective[0][-1], now):
+            return False
+        heapq.heappop(share.past_objective)
+        return True
+
+    def _is_queued(self, request: FlowRequest) -> bool:
+        return self._by_flow.get(request.flow) is request
 
     def _is_sendable(self, request: FlowRequest, now: float) -> bool:
-        # A flow whose next retransmission is due leaves the heaps; the retransmission
+        # A flow whose next retransmission is due leaves its share; the retransmission
         # queues it again.
-        is_queued = self._by_flow.get(request.flow) is request
-        return is_queued and request.may_be_sent(now)
-
-    def _add_past_objective(self, request: FlowRequest) -> None:
-        entry = (
-            request.priority,
-            request.answer_deadline,
-            next(self._sequence),
-            request,
-        )
-        heapq.heappush(self._past_objective, entry)
+        return self._is_queued(request) and request.may_be_sent(now)
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -63,22 +63,29 @@
     """Hold where a flow was placed and until when it counts as open.
 
     `unanswered_cookies` names the servers that it was placed on before and that did not
-    answer its caller.
+    answer its caller.  `waited_seconds` is how long it waited for a slot of its server
+    since `counted_at`, or None while it waits.
     """
 
     __slots__ = (
         "target",
+        "route",
         "placed_at",
         "is_counted",
+        "counted_at",
+        "waited_seconds",
         "count_deadline",
         "is_duration_recorded",
         "unanswered_cookies",
     )
 
-    def __init__(self, target: RegisteredTarget, now: float) -> None:
+    def __init__(self, target: RegisteredTarget, route: bytes, now: float) -> None:
         self.target = target
+        self.route = route
         self.placed_at = now
-        self.is_counted = True
+        self.is_counted = False
+        self.counted_at = now
+        self.waited_seconds: float | None = 0.0
         self.count_deadline = 0.0
         self.is_duration_recorded = False
         self.unanswered_cookies: list[int] = []
@@ -108,6 +115,8 @@
         self._flows: dict[bytes, _PlacedFlow] = {}
         self._count_deadlines: list[tuple[float, int, _PlacedFlow]] = []
         self._retention_deadlines: deque[tuple[float, bytes, _PlacedFlow]] = deque()
+        # By cookie, the flows that wait for a slot of their server, oldest first.
+        self._waiting: dict[int, deque[_PlacedFlow]] = {}
         self._queues: dict[str, FlowQueue] = {}
         self._discovery_deadline = 0.0
         self._sequence = count()
@@ -151,8 +160,7 @@
         if placed is None:
             return
         if not placed.is_counted:
-            placed.is_counted = True
-            self._choice.change_flows(placed.target, 1)
+            self._start_count(placed, now)
         load = self._choice.load(placed.target.cookie)
         self._count_until(placed, load.count_deadline(now))
 
@@ -165,7 +173,7 @@
         if placed is None:
             return
         self._record_duration(placed, seconds, now)
-        self._uncount(placed)
+        self._uncount(placed, now)
         self._release_queued(placed.target.service, now)
 
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
@@ -175,13 +183,14 @@
             return
         if was_answered and not placed.is_duration_recorded:
             self._record_duration(placed, now - placed.placed_at, now)
-        self._uncount(placed)
+        self._uncount(placed, now)
         self._release_queued(placed.target.service, now)
 
     def _record_duration(self, placed: _PlacedFlow, seconds: float, now: float) -> None:
         placed.is_duration_recorded = True
         self._choice.record_answer(placed.target, seconds, now)
-        self._queue_of(placed.target.service).record_duration(seconds)
+        queue = self._queue_of(placed.target.service)
+        queue.record_duration(seconds, placed.route, placed.waited_seconds)
 
     def tick(self, now: float) -> None:
         """Expire old flows, then release or drop queued flows."""
@@ -189,7 +198,7 @@
         while self._count_deadlines and self._count_deadlines[0][0] <= now:
             deadline, _, placed = heapq.heappop(self._count_deadlines)
             if placed.is_counted and deadline == placed.count_deadline:
-                self._uncount(placed)
+                self._uncount(placed, now)
                 services.add(placed.target.service)
         while self._retention_deadlines and self._retention_deadlines[0][0] <= now:
             _, flow, placed = self._retention_deadlines.popleft()
@@ -213,7 +222,7 @@
             return PlacementDecision(
                 PlacementOutcome.PLACED, unanswered_target, "no other server"
             )
-        self._uncount(placed)
+        self._uncount(placed, now)
         self._count(placed, target, now)
         return PlacementDecision(
             PlacementOutcome.PLACED, target, "no answer from the first server"
@@ -236,7 +245,10 @@
             and not queue.has_within_objective(now)
         ):
             return self._place(request, target, now)
-        if queue.add(request, now, MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT * slots):
+        is_queued = queue.add(request, now, MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT * slots)
+        for displaced in queue.take_displaced():
+            self._report_dropped(displaced, "route beyond its share", now)
+        if is_queued:
             return PlacementDecision(
                 PlacementOutcome.QUEUED, None, "every server is full", len(queue)
             )
@@ -247,7 +259,7 @@
     def _place(
         self, request: FlowRequest, target: RegisteredTarget, now: float
     ) -> PlacementDecision:
-        placed = _PlacedFlow(target, now)
+        placed = _PlacedFlow(target, request.route, now)
         self._flows[request.flow] = placed
         self._retention_deadlines.append(
             (now + PLACEMENT_RETENTION_SECONDS, request.flow, placed)
@@ -270,12 +282,14 @@
         queue = self._queue_of(service)
         for request in queue.requests_to_drop(now):
             queue.remove(request)
-            is_refusable = now < request.refusal_deadline
-            outcome = (
-                PlacementOutcome.REFUSED if is_refusable else PlacementOutcome.EXPIRED
-            )
-            decision = PlacementDecision(outcome, None, "waited too long", len(queue))
-            self._on_flow_released(request, decision, now - request.queued_since)
+            self._report_dropped(request, "waited too long", now)
+
+    def _report_dropped(self, request: FlowRequest, reason: str, now: float) -> None:
+        is_refusable = now < request.refusal_deadline
+        outcome = PlacementOutcome.REFUSED if is_refusable else PlacementOutcome.EXPIRED
+        queued_count = len(self._queue_of(request.service))
+        decision = PlacementDecision(outcome, None, reason, queued_count)
+        self._on_flow_released(request, decision, now - request.queued_since)
 
     def _queue_of(self, service: str) -> FlowQueue:
         queue = self._queues.get(service)
@@ -286,8 +300,7 @@
 
     def _count(self, placed: _PlacedFlow, target: RegisteredTarget, now: float) -> None:
         placed.target = target
-        placed.is_counted = True
-        self._choice.change_flows(target, 1)
+        self._start_count(placed, now)
         self._choice.limit_placements(target, now)
         placed.placed_at = now
         self._count_until(placed, now + ESTABLISHMENT_TIMEOUT_SECONDS)
@@ -296,7 +309,29 @@
         placed.count_deadline = deadline
         heapq.heappush(self._count_deadlines, (deadline, next(self._sequence), placed))
 
-    def _uncount(self, placed: _PlacedFlow) -> None:
-        if placed.is_counted:
-            placed.is_counted = False
-            self._choice.change_flows(placed.target, -1)
+    def _start_count(self, placed: _PlacedFlow, now: float) -> None:
+        target = placed.target
+        placed.is_counted = True
+        placed.counted_at = now
+        placed.waited_seconds = 0.0
+        self._choice.change_flows(target, 1)
+        if self._choice.load(target.cookie).total_flows > target.slots:
+            placed.waited_seconds = None
+            self._waiting.setdefault(target.cookie, deque()).append(placed)
+
+    def _uncount(self, placed: _PlacedFlow, now: float) -> None:
+        if not placed.is_counted:
+            return
+        placed.is_counted = False
+        cookie = placed.target.cookie
+        self._choice.change_flows(placed.target, -1)
+        waiting = self._waiting.get(cookie)
+        if waiting is None:
+            return
+        if placed.waited_seconds is None:
+            waiting.remove(placed)
+        else:
+            following = waiting.popleft()
+            following.waited_seconds = now - following.counted_at
+        if not waiting:
+            del self._waiting[cookie]
