Count queued, refused and expired flows by priority

Cause: operators could not see whose flows wait or are turned away. Change: CookieRouter counts them as flows_*_priority_N, N up to 3.

--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -43,6 +43,8 @@
 QUIET_AFTER_ANSWER_SECONDS = 0.03
 # How long a server's first packet takes to reach the caller that waits for it.
 ANSWER_TRAVEL_SECONDS = 0.03
+# Flows of lower priorities are counted with those of this one.
+MAXIMUM_COUNTED_PRIORITY = 3
 # Origin of a flow that its coordinator did not acknowledge: if no server is found for
 # the flow, no host or caller is notified.
 NO_ORIGIN = ""
@@ -321,6 +323,7 @@
 
     def _apply(self, request: FlowRequest, decision: PlacementDecision) -> None:
         self._counts[f"flows_{decision.outcome.value}"] += 1
+        self._count_by_priority(request, decision.outcome)
         if decision.outcome is PlacementOutcome.REFUSED:
             reason = decision.reason.replace(" ", "_")
             self._counts[f"flows_refused_{reason}"] += 1
@@ -346,6 +349,13 @@
             )
             self._transport.send_to_target(datagram, target.endpoint)
 
+    def _count_by_priority(
+        self, request: FlowRequest, outcome: PlacementOutcome
+    ) -> None:
+        if outcome is not PlacementOutcome.PLACED:
+            level = min(request.priority, MAXIMUM_COUNTED_PRIORITY)
+            self._counts[f"flows_{outcome.name.lower()}_priority_{level}"] += 1
+
     def _forward(self, packet: bytes, header: FlowPacket, now: float) -> None:
         if header.ends_flow:
             # A caller learns a cookie only from a server's answer.
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -326,6 +326,18 @@
     assert not host.sent.to_callers
 
 
+def test_refusals_are_counted_by_priority_with_the_lowest_in_one_counter():
+    """Operators see whose flows are turned away; counters must not grow in number."""
+    host = without_servers(Host(OWN))
+    for priority in (1, 3, 9):
+        flow = b"flow-%d" % priority
+        packet = flow + b" open 0"
+        message = PlaceFlow(flow, "order-desk", 0, priority, 150, packet)
+        host.router.place_for_host(OTHER, message, 0.0)
+    assert host.metrics.counts["flows_refused_priority_1"] == 1
+    assert host.metrics.counts["flows_refused_priority_3"] == 2
+
+
 def test_a_malformed_packet_of_another_host_is_not_placed():
     # It has no route; acknowledged, it would be lost without a trace.
     host = Host(OWN)
