Test that uneven routes are refused only while that cannot reset a placed flow

Cause: only equal routes were driven by generated sequences. Change: seeded sequences with five uneven routes, and a displaced flow in Placement.

--- a/tests/cover/test_fair_shares.py
+++ b/tests/cover/test_fair_shares.py
@@ -19,7 +19,7 @@
     FlowQueue,
     FlowRequest,
 )
-from kingcuppulley.fabric.placement import Placement
+from kingcuppulley.fabric.placement import Placement, PlacementOutcome
 from kingcuppulley.fabric.request_cost import MAXIMUM_ROUTES, RouteWork
 from tests.seeded_fakes import flow_request, registry_of
 
@@ -271,6 +271,54 @@
     assert len(queue) == queued_count + 1
 
 
+def test_a_displaced_flow_is_reported_as_refused_at_once():
+    """Left to the next tick, it could be past its refusal window."""
+    released = []
+    registry = registry_of({"zone-a": 1})
+    placement = Placement(
+        "zone-a", registry, Random(1), lambda *release: released.append(release)
+    )
+    for number in range(10):
+        placement.open_flow(flow_request(b"%d" % number, priority=2), 0.0)
+    now = REFUSAL_WINDOW_SECONDS - 0.02
+    decision = placement.open_flow(flow_request(b"calm", now, priority=1), now)
+    assert decision.outcome is PlacementOutcome.QUEUED
+    ((_, refusal, _),) = released
+    assert refusal.outcome is PlacementOutcome.REFUSED
+    assert refusal.reason == "route beyond its share"
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_uneven_routes_are_refused_and_released_only_when_that_is_safe(seed):
+    """A later refusal or release could reset a flow that another host has placed."""
+    random = Random(seed)
+    queue, now = FlowQueue(), 0.0
+    limit = random.choice([0, 5, 40])
+    for position in range(1500):
+        now += random.choice([0.0, 0.001, 0.004])
+        number = random.randrange(5)
+        route, priority = b"%d" % number, number // 2
+        kind = random.choice(KINDS)
+        if kind in ("open", "retransmit"):
+            flow = b"%d" % (position if kind == "open" else random.randrange(200))
+            packet = random.choice([0, 0, 1, 2])
+            request = request_of(flow, now, route, priority, 0.8, packet)
+            is_queued = queue.add(request, now, limit)
+            for displaced in queue.take_displaced():
+                assert now < displaced.refusal_deadline
+                assert displaced.flow not in queue
+            assert (flow in queue) == is_queued
+        elif kind == "release" and (first := queue.first(now)) is not None:
+            assert first.flow in queue
+            assert first.may_be_sent(now)
+            queue.release(first, now)
+        elif kind == "tick":
+            for dropped in queue.requests_to_drop(now):
+                queue.remove(dropped)
+        elif kind == "answer":
+            queue.record_duration(0.005 * 4**number, route)
+
+
 @pytest.mark.parametrize(
     ("load", "routes_within_share"),
     [
