--- a/src/kingcuppulley/fabric/fair_share.py
+++ b/src/kingcuppulley/fabric/fair_share.py
@@ -5,6 +5,7 @@
 import heapq
 from collections import deque
 from collections.abc import Iterable
+from copy import copy
 from itertools import count
 
 from kingcuppulley.fabric.flow_request import FlowRequest
@@ -80,6 +81,13 @@
         """Return the work of the flows past their objective, for its weight."""
         return len(self.past_objective) / self.cost_per_second
 
+    def copy(self) -> FairShare:
+        """Return a copy that shares the requests and the work of the routes."""
+        twin = copy(self)
+        twin.within_objective = self.within_objective.copy()
+        twin.past_objective = self.past_objective.copy()
+        return twin
+
     def remove_past_objective(self, request: FlowRequest) -> None:
         """Remove a flow that is past its objective."""
         self.past_objective = [e for e in self.past_objective if e[-1] is not request]
@@ -129,6 +137,12 @@
         """Return how many flows count as within their objective."""
         return sum(len(share.within_objective) for share in self._by_route.values())
 
+    def copy(self) -> FairShares:
+        """Return a copy that shares the requests and the work of the routes."""
+        twin = copy(self)
+        twin._by_route = {key: share.copy() for key, share in self._by_route.items()}
+        return twin
+
     def record_work(self, route: bytes, seconds: float) -> None:
         """Record how long a flow of a route occupied a server."""
         self._route_work.record(route, seconds)
--- a/src/kingcuppulley/fabric/flow_queue.py
+++ b/src/kingcuppulley/fabric/flow_queue.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from copy import copy
 
 from kingcuppulley.fabric.fair_share import (
     MAXIMUM_CONSECUTIVE_WITHIN_OBJECTIVE,
@@ -90,12 +91,27 @@
         if waited_seconds is not None:
             self._shares.record_work(route, seconds - waited_seconds)
 
-    def has_within_objective(self, now: float) -> bool:
-        """Return whether a queued flow can still meet its objective."""
+    def copy(self) -> FlowQueue:
+        """Return a copy on which operations can be tried without an effect.
+
+        The copies share the requests.
+        """
+        twin = copy(self)
+        twin._by_flow = dict(self._by_flow)
+        twin._displaced = list(self._displaced)
+        twin._shares = self._shares.copy()
+        return twin
+
+    def count_within_objective(self, now: float) -> int:
+        """Return how many queued flows count as able to meet their objective."""
         if not self._shares.has_shares:
-            return False
+            return 0
         self._update_order(now)
-        return self._shares.within_objective_count > 0
+        return self._shares.within_objective_count
+
+    def has_within_objective(self, now: float) -> bool:
+        """Return whether a queued flow can still meet its objective."""
+        return self.count_within_objective(now) > 0
 
     def add(
         self, request: FlowRequest, now: float, within_objective_limit: int
@@ -169,31 +185,6 @@
         flows_before = self._shares.count_before(self._shares.share_of(request))
         return self._is_released_in_time(request, flows_before, now)
 
-    def count_within_objective(self, now: float) -> int:
-        """Return how many queued flows can still meet their objective."""
-        answered_at = now + self._average_duration_seconds
-        return sum(
-            self._is_sendable(request, now)
-            and answered_at <= request.objective_deadline
-            for _, _, request in self._within_objective
-        )
-
-    def can_add(
-        self, request: FlowRequest, now: float, within_objective_limit: int
-    ) -> bool:
-        """Return whether `add` would queue a flow; nothing is changed."""
-        is_within_objective = (
-            now + self._average_duration_seconds <= request.objective_deadline
-        )
-        return (
-            not self._by_flow
-            or (
-                is_within_objective
-                and len(self._within_objective) < within_objective_limit
-            )
-            or self.can_meet_deadline(request, now)
-        )
-
     def requests_to_drop(self, now: float) -> list[FlowRequest]:
         """Return abandoned flows and those that cannot be placed in time."""
         self._update_order(now)
--- a/src/kingcuppulley/fabric/placement_explanation.py
+++ b/src/kingcuppulley/fabric/placement_explanation.py
@@ -8,7 +8,7 @@
 
 from kingcuppulley.entry_hosts.coordinator_table import CoordinatorTable
 from kingcuppulley.fabric.cookie_router import ANSWER_TRAVEL_SECONDS
-from kingcuppulley.fabric.flow_queue import FlowRequest
+from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
 from kingcuppulley.fabric.formats import PacketFormat
 from kingcuppulley.fabric.placement import (
     LEAST_LOAD,
@@ -152,13 +152,17 @@
         is_coordinator = coordinator in (None, self._address)
         servers = choice.ranked_servers(service, share, now)
         contenders = _find_contenders(servers)
+        queue = self._placement.queue_of(service)
+        queue = FlowQueue() if queue is None else queue.copy()
+        explained_queue = ExplainedQueue(
+            flows=len(queue), within_objective=queue.copy().count_within_objective(now)
+        )
         if is_coordinator:
             request = self._build_request(flow, service, route, now)
-            outcome, reason = self._decide(request, servers, contenders, now)
+            outcome, reason = self._decide(request, queue, servers, contenders, now)
         else:
             outcome = ExpectedOutcome.SENT_TO_COORDINATOR
             reason = f"{coordinator} places the flows of the share; ask that host"
-        queue = self._placement.queue_of(service)
         return PlacementExplanation(
             host=self._address,
             zone=self._zone,
@@ -172,11 +176,7 @@
             share_count=choice.shares.count(self._zone, service),
             coordinator=coordinator,
             is_coordinator=is_coordinator,
-            queue=ExplainedQueue()
-            if queue is None
-            else ExplainedQueue(
-                flows=len(queue), within_objective=queue.count_within_objective(now)
-            ),
+            queue=explained_queue,
             servers=[
                 _explain_server(server, server in contenders) for server in servers
             ],
@@ -185,26 +185,31 @@
     def _decide(
         self,
         request: FlowRequest,
+        queue: FlowQueue,
         servers: list[RankedServer],
         contenders: list[RankedServer],
         now: float,
     ) -> tuple[ExpectedOutcome, str]:
-        """Decide as `Placement` does for a new flow."""
+        """Decide as `Placement` does for a new flow; `queue` is a copy."""
         slots = sum(server.counted_slots for server in servers)
         is_discovery_over = now >= self._placement.discovery_deadline
         if not contenders and not slots and is_discovery_over:
             return ExpectedOutcome.REFUSED, "no server within reach"
         if contenders and not slots:
             return ExpectedOutcome.PLACED, LEAST_LOAD
-        queue = self._placement.queue_of(request.service)
-        is_next = queue is None or (
-            request.flow not in queue and not queue.count_within_objective(now)
-        )
         with_capacity = sum(server.has_capacity for server in contenders)
+        # `Placement` checks the queue only if the server drawn has capacity, and the
+        # check removes outdated entries, which `add` counts otherwise.
+        checked = queue if with_capacity == len(contenders) else queue.copy()
+        is_next = (
+            with_capacity > 0
+            and request.flow not in queue
+            and not checked.has_within_objective(now)
+        )
         if is_next and with_capacity and with_capacity == len(contenders):
             return ExpectedOutcome.PLACED, LEAST_LOAD
         limit = MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT * slots
-        if queue is None or queue.can_add(request, now, limit):
+        if queue.add(request, now, limit):
             outcome = ExpectedOutcome.QUEUED
             reason = _queueing_reason(len(contenders), with_capacity)
         else:
