--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -37,6 +37,7 @@
 from kingcuppulley.fabric.cookie_router import CookieRouter, CookieTransport
 from kingcuppulley.fabric.formats import PacketFormat
 from kingcuppulley.fabric.placement import Placement
+from kingcuppulley.fabric.server_speed import ServerSpeed
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.operators.routing import RoutingConfiguration, RoutingTable
 
@@ -107,6 +108,7 @@
             lambda *released: self._router.flow_released(*released),
         )
         self._placement.choice.set_cold_start_filter(self._may_place_on_cold)
+        self._placement.choice.set_slow_server_observer(self._log_slow_server)
         self._load_reporter = LoadReporter(
             address, zone, self._coordinators, self._placement.choice, send
         )
@@ -152,6 +154,9 @@
             target.is_eligible for target in self._registry.targets
         )
         gauges["backend_server_cookie_collisions"] = self._registry.cookie_collisions
+        speeds = self._placement.choice.speeds
+        gauges["backend_servers_slow"] = speeds.slow_count
+        gauges["backend_server_slowness_max"] = round(speeds.maximum_slowness, 2)
         gauges["flows_open"] = self._placement.open_count
         gauges["flows_waiting"] = self._placement.queued_count
         gauges["is_ready"] = float(self.is_ready)
@@ -377,6 +382,15 @@
                 born=target.incarnation,
             )
 
+    def _log_slow_server(self, target: RegisteredTarget, speed: ServerSpeed) -> None:
+        self._log.event(
+            "backend server slow" if speed.is_slow else "backend server not slow",
+            server=target.name,
+            service=target.service,
+            zone=target.zone,
+            slowness=round(speed.slowness, 2),
+        )
+
     def _apply_state(self, state: RoutingState, now: float) -> None:
         if state.revision <= self._revision:
             return
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -15,6 +15,7 @@
 )
 from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
 from kingcuppulley.fabric.server_choice import ServerChoice
+from kingcuppulley.fabric.server_speed import TimedRequest
 
 # A caller that still waits answers a server within this time; one that has
 # disconnected never does.
@@ -73,10 +74,14 @@
         "count_deadline",
         "is_duration_recorded",
         "unanswered_cookies",
+        "route",
+        "timed_request",
     )
 
-    def __init__(self, target: RegisteredTarget, now: float) -> None:
+    def __init__(self, target: RegisteredTarget, route: bytes, now: float) -> None:
         self.target = target
+        self.route = route
+        self.timed_request: TimedRequest | None = None
         self.placed_at = now
         self.is_counted = True
         self.count_deadline = 0.0
@@ -152,7 +157,11 @@
             return
         if not placed.is_counted:
             placed.is_counted = True
+            if placed.timed_request is None and placed.is_duration_recorded:
+                self._start_request(placed, now)
             self._choice.change_flows(placed.target, 1)
+        if placed.timed_request is not None:
+            self._choice.speeds.watch(placed.timed_request)
         load = self._choice.load(placed.target.cookie)
         self._count_until(placed, load.count_deadline(now))
 
@@ -175,12 +184,26 @@
             return
         if was_answered and not placed.is_duration_recorded:
             self._record_duration(placed, now - placed.placed_at, now)
+        self._discard_request(placed)
         self._uncount(placed)
         self._release_queued(placed.target.service, now)
 
+    def _start_request(self, placed: _PlacedFlow, now: float) -> None:
+        placed.timed_request = self._choice.start_request(
+            placed.target, placed.route, now
+        )
+
+    def _discard_request(self, placed: _PlacedFlow) -> None:
+        if placed.timed_request is not None:
+            placed.timed_request.is_open = False
+            placed.timed_request = None
+
     def _record_duration(self, placed: _PlacedFlow, seconds: float, now: float) -> None:
         placed.is_duration_recorded = True
         self._choice.record_answer(placed.target, seconds, now)
+        if placed.timed_request is not None:
+            self._choice.speeds.finish(placed.timed_request, seconds, now)
+            placed.timed_request = None
         self._queue_of(placed.target.service).record_duration(seconds)
 
     def tick(self, now: float) -> None:
@@ -208,6 +231,7 @@
         unanswered_target = placed.target
         self._choice.load(unanswered_target.cookie).suspect(now)
         placed.unanswered_cookies.append(unanswered_target.cookie)
+        self._discard_request(placed)
         target = self._choice.choose(request, placed.unanswered_cookies, now)[0]
         if target is None:
             return PlacementDecision(
@@ -247,12 +271,14 @@
     def _place(
         self, request: FlowRequest, target: RegisteredTarget, now: float
     ) -> PlacementDecision:
-        placed = _PlacedFlow(target, now)
+        placed = _PlacedFlow(target, request.route, now)
         self._flows[request.flow] = placed
         self._retention_deadlines.append(
             (now + PLACEMENT_RETENTION_SECONDS, request.flow, placed)
         )
         load = self._choice.load(target.cookie).total_flows
+        if not request.retransmission:
+            self._start_request(placed, now)
         self._count(placed, target, now)
         return PlacementDecision(PlacementOutcome.PLACED, target, LEAST_LOAD, load)
 
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable, Iterator
 from random import Random
 
@@ -13,17 +14,19 @@
 from kingcuppulley.fabric.server_index import (
     MAXIMUM_TIE_BREAK_COST,
     ServerIndex,
+    has_capacity,
     load_cost,
 )
 from kingcuppulley.fabric.server_load import ServerLoad
+from kingcuppulley.fabric.server_speed import ServerSpeed, ServerSpeeds, TimedRequest
 from kingcuppulley.fabric.service_shares import ServiceShares
 
 LOAD_REPORT_VALIDITY_SECONDS = 0.5
 COLD_SERVER_MINIMUM_INTERVAL_SECONDS = 0.6
 UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS = 0.25
 ZONE_ANSWER_VALIDITY_SECONDS = 1.0
-# Flows that a server may have beyond its slots, for each slot.
-MAXIMUM_SERVER_QUEUE_PER_SLOT = 1
+# An idle server that is slow gets a flow at least this often, to detect its recovery.
+SLOW_SERVER_PROBE_INTERVAL_SECONDS = 1.0
 # Age of an index of servers after which it is built again: cold starts and suspicions
 # end without notice.
 INDEX_VALIDITY_SECONDS = 0.25
@@ -68,12 +71,23 @@
         self._zones_out: frozenset[str] = frozenset()
         self._unreachable_zones: frozenset[str] = frozenset()
         self._may_place_on_cold: Callable[[RegisteredTarget], bool] = lambda _: True
+        self._speeds = ServerSpeeds(self._move_changed, self._handle_slow)
+        self._on_slow: Callable[[RegisteredTarget, ServerSpeed], None] = lambda *_: None
+        # Slow servers of the own zone by service and share, ordered by the time of
+        # their next probe.
+        self._probes: dict[tuple[str, int], list[tuple[float, int]]] = {}
+        self._probed_cookies: set[int] = set()
 
     @property
     def shares(self) -> ServiceShares:
         """Return the shares into which the servers are divided."""
         return self._shares
 
+    @property
+    def speeds(self) -> ServerSpeeds:
+        """Return the estimates of how slow the servers are."""
+        return self._speeds
+
     @property
     def open_count(self) -> int:
         """Return how many flows of this host are counted as open."""
@@ -94,6 +108,12 @@
         """Set the rule for which cold servers this host may place flows on."""
         self._may_place_on_cold = may_place_on_cold
 
+    def set_slow_server_observer(
+        self, on_slow: Callable[[RegisteredTarget, ServerSpeed], None]
+    ) -> None:
+        """Set what is called when a server becomes slow or is back to normal."""
+        self._on_slow = on_slow
+
     def own_loads(self) -> dict[str, list[tuple[int, int]]]:
         """Return the cookie and open flows of each server that this host uses.
 
@@ -135,6 +155,7 @@
     def limit_placements(self, target: RegisteredTarget, now: float) -> None:
         """Delay the next flow of a server that is cold or in an unreachable zone."""
         load = self.load(target.cookie)
+        load.next_probe_at = now + SLOW_SERVER_PROBE_INTERVAL_SECONDS
         if now < target.cold_deadline:
             load.next_placement_at = now + COLD_SERVER_MINIMUM_INTERVAL_SECONDS
         elif self._rank(target, load, now) == _UNREACHABLE_ZONE_RANK:
@@ -147,8 +168,16 @@
         self._zone_answered_at[target.zone] = now
         self.load(target.cookie).record_duration(seconds)
 
+    def start_request(
+        self, target: RegisteredTarget, route: bytes, now: float
+    ) -> TimedRequest | None:
+        """Start to time a request, before its flow counts on the server."""
+        load = self.load(target.cookie)
+        return self._speeds.start(target, load.speed, route, load.total_flows, now)
+
     def tick(self, now: float) -> None:
         """Expire reports, and evict the loads of servers that are not registered."""
+        self._speeds.tick(now)
         for host, report in list(self._reports.items()):
             if now >= report.deadline:
                 self._replace_report(report, {})
@@ -168,10 +197,12 @@
         share = self._shares.share_of_flow(self._zone, service, request.flow)
         if not excluded_cookies:
             index = self._index_of(service, share, now)
+            probed = self._server_to_probe(service, share, index, now)
+            if probed is not None:
+                return probed, True, index.slots
             while (target := index.choose(self._generator)) is not None:
                 if self._is_usable(target, now):
-                    flows = self.load(target.cookie).total_flows
-                    return target, _has_capacity(target, flows), index.slots
+                    return target, self._has_capacity(target), index.slots
                 index.remove(target.cookie)
         return self._compare_all(service, share, excluded_cookies, now)
 
@@ -195,9 +226,54 @@
                 index.slots += target.slots
             if rank == 0:
                 is_own = self._is_own(target, share)
-                index.add(target, load.total_flows, is_own=is_own)
+                index.add(target, load.total_flows, load.speed, is_own=is_own)
         return index
 
+    def _server_to_probe(
+        self, service: str, share: int, index: ServerIndex, now: float
+    ) -> RegisteredTarget | None:
+        """Return an idle slow server that has got no flow for some time."""
+        probes = self._probes.get((service, share))
+        while probes and probes[0][0] <= now:
+            cookie = probes[0][1]
+            target = self._registry.by_cookie(cookie)
+            load = self._loads.get(cookie)
+            if target is None or load is None or not load.speed.is_slow:
+                heapq.heappop(probes)
+                self._probed_cookies.remove(cookie)
+                continue
+            if (
+                load.next_probe_at <= now
+                and load.total_flows == 0
+                and index.is_own(cookie)
+                and self._is_usable(target, now)
+            ):
+                # The probe stays due until a flow is placed.
+                return target
+            next_probe_at = load.next_probe_at
+            if next_probe_at <= now:
+                next_probe_at = now + SLOW_SERVER_PROBE_INTERVAL_SECONDS
+            heapq.heapreplace(probes, (next_probe_at, cookie))
+        return None
+
+    def _move_changed(self, target: RegisteredTarget) -> None:
+        self._move_in_indexes(target, self.load(target.cookie))
+
+    def _handle_slow(self, target: RegisteredTarget, speed: ServerSpeed) -> None:
+        is_probed = target.cookie in self._probed_cookies
+        if speed.is_slow and not is_probed and target.zone == self._zone:
+            self._probed_cookies.add(target.cookie)
+            key = (target.service, self._shares.share_of_server(target))
+            next_probe_at = self.load(target.cookie).next_probe_at
+            heapq.heappush(
+                self._probes.setdefault(key, []), (next_probe_at, target.cookie)
+            )
+        self._on_slow(target, speed)
+
+    def _has_capacity(self, target: RegisteredTarget) -> bool:
+        load = self.load(target.cookie)
+        return has_capacity(target, load.total_flows, load.speed)
+
     def _candidates(self, service: str, share: int) -> Iterator[RegisteredTarget]:
         """Return the servers in service that the flows of a share may use."""
         for target in self._registry.of_service(service):
@@ -248,11 +324,11 @@
             flows = load.total_flows
             tie_break_cost = MAXIMUM_TIE_BREAK_COST * self._generator.random()
             is_own = self._is_own(target, share)
-            cost = load_cost(target, flows, is_own=is_own) + tie_break_cost
+            cost = load_cost(target, flows, load.speed, is_own=is_own) + tie_break_cost
             if (rank, cost) < best_key:
                 best = target
                 best_key = (rank, cost)
-                best_has_capacity = _has_capacity(target, flows)
+                best_has_capacity = self._has_capacity(target)
         return best, best_has_capacity, slots
 
     def _rank(self, target: RegisteredTarget, load: ServerLoad, now: float) -> int:
@@ -298,7 +374,3 @@
     def _move_in_indexes(self, target: RegisteredTarget, load: ServerLoad) -> None:
         for index in self._indexes.get(target.service, {}).values():
             index.move(target.cookie, load.total_flows)
-
-
-def _has_capacity(target: RegisteredTarget, flows: int) -> bool:
-    return flows < target.slots * (1 + MAXIMUM_SERVER_QUEUE_PER_SLOT)
--- a/src/kingcuppulley/fabric/server_index.py
+++ b/src/kingcuppulley/fabric/server_index.py
@@ -5,30 +5,50 @@
 from random import Random
 
 from kingcuppulley.backend_servers.target_registry import RegisteredTarget
+from kingcuppulley.fabric.server_speed import SLOW, ServerSpeed
 
-# Both costs are in flows per slot and are added to a server's load.
+# Both costs are in flows of an average server per slot and are added to its load.
 OTHER_SHARE_COST = 0.8
 MAXIMUM_TIE_BREAK_COST = 0.25
+# Flows that a server may have beyond its slots, for each slot.
+MAXIMUM_SERVER_QUEUE_PER_SLOT = 1
+# Sums of equal costs must be equal, so that equal servers tie.
+COST_DECIMALS = 9
 
 
-def load_cost(target: RegisteredTarget, flows: int, *, is_own: bool) -> float:
-    """Return the cost of one more flow on a server.
+def has_capacity(target: RegisteredTarget, flows: int, speed: ServerSpeed) -> bool:
+    """Return whether a server may get another flow; a slow one has no queue."""
+    queue_per_slot = 0 if speed.slowness > SLOW else MAXIMUM_SERVER_QUEUE_PER_SLOT
+    return flows < target.slots * (1 + queue_per_slot)
 
-    `is_own` says whether the server belongs to the share of the host that chooses.
+
+def load_cost(
+    target: RegisteredTarget, flows: int, speed: ServerSpeed, *, is_own: bool
+) -> float:
+    """Return the cost of one more flow on a server: when it expects to answer it.
+
+    `is_own` says whether the server belongs to the share of the host that chooses.  A
+    full server costs no less than an average one, because a flow cannot wait there.
     """
-    cost = flows / max(1, target.slots)
-    return cost if is_own else cost + OTHER_SHARE_COST
+    slowness = speed.slowness
+    if slowness < 1.0 and not has_capacity(target, flows, speed):
+        slowness = 1.0
+    cost = (flows + 1) / max(1, target.slots) * slowness
+    return round(cost if is_own else cost + OTHER_SHARE_COST, COST_DECIMALS)
 
 
 class _IndexedServer:
     """Hold a server's place among the servers of the same cost."""
 
-    __slots__ = ("target", "is_own", "cost", "position")
+    __slots__ = ("target", "speed", "is_own", "cost", "position")
 
-    def __init__(self, target: RegisteredTarget, flows: int, is_own: bool) -> None:
+    def __init__(
+        self, target: RegisteredTarget, flows: int, speed: ServerSpeed, is_own: bool
+    ) -> None:
         self.target = target
+        self.speed = speed
         self.is_own = is_own
-        self.cost = load_cost(target, flows, is_own=is_own)
+        self.cost = load_cost(target, flows, speed, is_own=is_own)
         self.position = 0
 
 
@@ -59,21 +79,35 @@
         self._servers: dict[int, _IndexedServer] = {}
         self._costs: dict[float, list[_IndexedServer]] = {}
 
-    def add(self, target: RegisteredTarget, flows: int, *, is_own: bool) -> None:
+    def add(
+        self,
+        target: RegisteredTarget,
+        flows: int,
+        speed: ServerSpeed,
+        *,
+        is_own: bool,
+    ) -> None:
         """Add a server with its number of open flows."""
-        server = _IndexedServer(target, flows, is_own)
+        server = _IndexedServer(target, flows, speed, is_own)
         self._servers[target.cookie] = server
         self._insert(server)
 
     def move(self, cookie: int, flows: int) -> None:
-        """Record a server's new number of open flows, if it is in the index."""
+        """Record a server's new number of open flows or slowness, if it is here."""
         server = self._servers.get(cookie)
         if server is None:
             return
         self._take_out(server)
-        server.cost = load_cost(server.target, flows, is_own=server.is_own)
+        server.cost = load_cost(
+            server.target, flows, server.speed, is_own=server.is_own
+        )
         self._insert(server)
 
+    def is_own(self, cookie: int) -> bool:
+        """Return whether a server is in the index and belongs to the share."""
+        server = self._servers.get(cookie)
+        return server is not None and server.is_own
+
     def remove(self, cookie: int) -> None:
         """Remove a server."""
         self._take_out(self._servers.pop(cookie))
--- a/src/kingcuppulley/fabric/server_load.py
+++ b/src/kingcuppulley/fabric/server_load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from kingcuppulley.fabric.server_speed import ServerSpeed
+
 # An established flow whose end is not reported counts for a multiple of the average
 # duration, within these bounds.
 MAXIMUM_COUNT_SECONDS = 2.0
@@ -29,6 +31,10 @@
         Earliest time of the next flow while the server is cold or its zone unreachable.
     average_seconds : float
         Moving average of how long answered flows last.
+    speed : ServerSpeed
+        Slowness of the server, relative to the others of its service.
+    next_probe_at : float
+        Earliest time of the next flow that probes the server while it is slow.
     """
 
     __slots__ = (
@@ -38,6 +44,8 @@
         "suspicion_deadline",
         "next_placement_at",
         "average_seconds",
+        "speed",
+        "next_probe_at",
     )
 
     def __init__(self) -> None:
@@ -47,6 +55,8 @@
         self.suspicion_seconds = SERVER_SUSPICION_SECONDS
         self.suspicion_deadline = 0.0
         self.next_placement_at = 0.0
+        self.speed = ServerSpeed()
+        self.next_probe_at = 0.0
 
     @property
     def total_flows(self) -> int:
--- a/tests/cover/test_server_index.py
+++ b/tests/cover/test_server_index.py
@@ -13,6 +13,7 @@
 from kingcuppulley.fabric.placement import Placement, PlacementOutcome
 from kingcuppulley.fabric.server_choice import INDEX_VALIDITY_SECONDS
 from kingcuppulley.fabric.server_index import ServerIndex
+from kingcuppulley.fabric.server_speed import ServerSpeed
 from tests.seeded_fakes import SERVICE, flow_request, heartbeat, registry_of
 
 REQUEST = flow_request(b"flow")
@@ -149,7 +150,7 @@
     index = ServerIndex(0, 0.0)
     targets = registry.of_service(SERVICE)
     for target in targets:
-        index.add(target, 0, is_own=True)
+        index.add(target, 0, ServerSpeed(), is_own=True)
     index.remove(targets[0].cookie)
     index.move(targets[3].cookie, 2)
     index.move(targets[1].cookie, 2)
