Time requests from when their server has a slot for them

Change: a request that waits at its server is timed from when enough earlier ones have ended; flows whose count expired occupy a slot for 0.3 s.

--- a/src/kingcuppulley/experiments/uneven_servers.py
+++ b/src/kingcuppulley/experiments/uneven_servers.py
@@ -1,13 +1,13 @@
 """Compare rules for the choice among servers of uneven speed in a simulation.
 
-The placement of new flows runs with each rule against simulated servers, with the same
-arrivals and the same work.  Run with `python -m kingcuppulley.experiments.uneven_servers`.
+The placement of new flows runs with each rule against simulated servers, with the
+same arrivals and the same work.  Run with
+`python -m kingcuppulley.experiments.uneven_servers`.
 """
 
 from __future__ import annotations
 
 import heapq
-import math
 import random
 import statistics
 from collections.abc import Callable, Iterable
@@ -84,7 +84,7 @@
 
 
 class KnownSpeeds(LeastLoad):
-    """Choose by the same cost as the estimate, with the true slowness of each server."""
+    """Choose by the same cost as the estimate, but with the true slowness."""
 
     def set_slowness(self, target: RegisteredTarget, slowness: float) -> None:
         """Set the true slowness of a server."""
@@ -210,7 +210,9 @@
 
 
 def _draw_work(generator: random.Random) -> float:
-    seconds = WORK_SECONDS * generator.lognormvariate(-(WORK_SPREAD**2) / 2, WORK_SPREAD)
+    seconds = WORK_SECONDS * generator.lognormvariate(
+        -(WORK_SPREAD**2) / 2, WORK_SPREAD
+    )
     if generator.random() < LONG_REQUEST_SHARE:
         seconds *= LONG_REQUEST_FACTOR
     mean_factor = 1 + LONG_REQUEST_SHARE * (LONG_REQUEST_FACTOR - 1)
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -161,7 +161,7 @@
                 self._start_request(placed, now)
             self._choice.change_flows(placed.target, 1)
         if placed.timed_request is not None:
-            self._choice.speeds.watch(placed.timed_request)
+            self._choice.speeds.establish(placed.timed_request)
         load = self._choice.load(placed.target.cookie)
         self._count_until(placed, load.count_deadline(now))
 
@@ -173,8 +173,11 @@
         placed = self._flows.get(flow)
         if placed is None:
             return
+        if placed.timed_request is not None and placed.timed_request.has_waited:
+            # The end of the request before it was reported too late to time this one.
+            self._finish_request(placed, None, now)
         self._record_duration(placed, seconds, now)
-        self._uncount(placed)
+        self._uncount(placed, now)
         self._release_queued(placed.target.service, now)
 
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
@@ -184,8 +187,8 @@
             return
         if was_answered and not placed.is_duration_recorded:
             self._record_duration(placed, now - placed.placed_at, now)
-        self._discard_request(placed)
-        self._uncount(placed)
+        self._finish_request(placed, None, now)
+        self._uncount(placed, now)
         self._release_queued(placed.target.service, now)
 
     def _start_request(self, placed: _PlacedFlow, now: float) -> None:
@@ -193,17 +196,18 @@
             placed.target, placed.route, now
         )
 
-    def _discard_request(self, placed: _PlacedFlow) -> None:
-        if placed.timed_request is not None:
-            placed.timed_request.is_open = False
+    def _finish_request(
+        self, placed: _PlacedFlow, seconds: float | None, now: float
+    ) -> None:
+        request = placed.timed_request
+        if request is not None:
             placed.timed_request = None
+            self._choice.finish_request(request, seconds, now)
 
     def _record_duration(self, placed: _PlacedFlow, seconds: float, now: float) -> None:
         placed.is_duration_recorded = True
         self._choice.record_answer(placed.target, seconds, now)
-        if placed.timed_request is not None:
-            self._choice.speeds.finish(placed.timed_request, seconds, now)
-            placed.timed_request = None
+        self._finish_request(placed, seconds, now)
         self._queue_of(placed.target.service).record_duration(seconds)
 
     def tick(self, now: float) -> None:
@@ -212,7 +216,7 @@
         while self._count_deadlines and self._count_deadlines[0][0] <= now:
             deadline, _, placed = heapq.heappop(self._count_deadlines)
             if placed.is_counted and deadline == placed.count_deadline:
-                self._uncount(placed)
+                self._expire(placed, now)
                 services.add(placed.target.service)
         while self._retention_deadlines and self._retention_deadlines[0][0] <= now:
             _, flow, placed = self._retention_deadlines.popleft()
@@ -231,13 +235,13 @@
         unanswered_target = placed.target
         self._choice.load(unanswered_target.cookie).suspect(now)
         placed.unanswered_cookies.append(unanswered_target.cookie)
-        self._discard_request(placed)
+        self._finish_request(placed, None, now)
         target = self._choice.choose(request, placed.unanswered_cookies, now)[0]
         if target is None:
             return PlacementDecision(
                 PlacementOutcome.PLACED, unanswered_target, "no other server"
             )
-        self._uncount(placed)
+        self._expire(placed, now)
         self._count(placed, target, now)
         return PlacementDecision(
             PlacementOutcome.PLACED, target, "no answer from the first server"
@@ -322,7 +326,12 @@
         placed.count_deadline = deadline
         heapq.heappush(self._count_deadlines, (deadline, next(self._sequence), placed))
 
-    def _uncount(self, placed: _PlacedFlow) -> None:
+    def _uncount(self, placed: _PlacedFlow, now: float) -> None:
+        if placed.is_counted:
+            placed.is_counted = False
+            self._choice.flow_ended(placed.target, now)
+
+    def _expire(self, placed: _PlacedFlow, now: float) -> None:
         if placed.is_counted:
             placed.is_counted = False
-            self._choice.change_flows(placed.target, -1)
+            self._choice.flow_expired(placed.target, placed.timed_request, now)
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -173,7 +173,31 @@
     ) -> TimedRequest | None:
         """Start to time a request, before its flow counts on the server."""
         load = self.load(target.cookie)
-        return self._speeds.start(target, load.speed, route, load.total_flows, now)
+        return self._speeds.start(
+            target, load.speed, route, load.own_flows, load.reported_flows, now
+        )
+
+    def finish_request(
+        self, request: TimedRequest, seconds: float | None, now: float
+    ) -> None:
+        """Record when a request was answered, or that it ended without an answer."""
+        if seconds is None:
+            self._speeds.close(request)
+        else:
+            self._speeds.finish(request, seconds, now)
+        self._start_waiting(request.target, now)
+
+    def flow_ended(self, target: RegisteredTarget, now: float) -> None:
+        """Count a flow less, because it has ended or pauses."""
+        self.change_flows(target, -1)
+        self._start_waiting(target, now)
+
+    def flow_expired(
+        self, target: RegisteredTarget, request: TimedRequest | None, now: float
+    ) -> None:
+        """Count a flow less whose end was not reported."""
+        self._speeds.expire(self.load(target.cookie).speed, request, now)
+        self.change_flows(target, -1)
 
     def tick(self, now: float) -> None:
         """Expire reports, and evict the loads of servers that are not registered."""
@@ -371,6 +395,10 @@
         if target is not None:
             self._move_in_indexes(target, load)
 
+    def _start_waiting(self, target: RegisteredTarget, now: float) -> None:
+        load = self.load(target.cookie)
+        self._speeds.start_waiting(target, load.speed, load.total_flows, now)
+
     def _move_in_indexes(self, target: RegisteredTarget, load: ServerLoad) -> None:
         for index in self._indexes.get(target.service, {}).values():
             index.move(target.cookie, load.total_flows)
--- a/src/kingcuppulley/fabric/server_index.py
+++ b/src/kingcuppulley/fabric/server_index.py
@@ -28,12 +28,17 @@
     """Return the cost of one more flow on a server: when it expects to answer it.
 
     `is_own` says whether the server belongs to the share of the host that chooses.  A
-    full server costs no less than an average one, because a flow cannot wait there.
+    fast server that is full costs as much as an average one, and a slow server with a
+    free slot less: a flow is queued only if no server of the share can take it.
     """
+    slots = max(1, target.slots)
     slowness = speed.slowness
     if slowness < 1.0 and not has_capacity(target, flows, speed):
         slowness = 1.0
-    cost = (flows + 1) / max(1, target.slots) * slowness
+    cost = (flows + 1) / slots * slowness
+    if slowness > 1.0 and flows < slots:
+        full_cost = 1 + MAXIMUM_SERVER_QUEUE_PER_SLOT + 1 / slots
+        cost = min(cost, full_cost - MAXIMUM_TIE_BREAK_COST)
     return round(cost if is_own else cost + OTHER_SHARE_COST, COST_DECIMALS)
 
 
--- a/src/kingcuppulley/fabric/server_speed.py
+++ b/src/kingcuppulley/fabric/server_speed.py
@@ -8,7 +8,7 @@
 
 import heapq
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from itertools import count
 
@@ -16,6 +16,8 @@
 
 # Ratio of two successive values of a server's slowness.
 SLOWNESS_STEP = 1.25
+MINIMUM_SLOWNESS = 0.5
+MAXIMUM_SLOWNESS = 8.0
 MINIMUM_STEP = -3
 MAXIMUM_STEP = 9
 SLOW = 2.0
@@ -23,7 +25,7 @@
 # How far an estimate must be from the current step, in steps, before the step changes.
 # Noise must not make equal servers differ, so an average server keeps its step longer.
 STEP_HYSTERESIS = 0.75
-AVERAGE_STEP_HYSTERESIS = 1.1
+AVERAGE_STEP_HYSTERESIS = 1.3
 # The estimate starts as if the server had this many samples of average duration.
 PRIOR_SAMPLES = 6.0
 MAXIMUM_SAMPLES = 18.0
@@ -34,10 +36,13 @@
 MAXIMUM_SAMPLE_RATIO = 5.0
 # A sum of logarithmic deviations, each less the tolerated one, beyond the limit shows
 # that the speed has changed.  Two requests of the highest ratio are not enough.
-TOLERATED_DEVIATION = 0.5
-CHANGE_LIMIT = 2.5
+TOLERATED_DEVIATION = 0.6
+CHANGE_LIMIT = 2.8
 # Multiples of the expected duration at which an unanswered request becomes a sample.
 OVERDUE_MULTIPLES = (3.0, 6.0)
+# How long a request whose count expired may still occupy a slot of its server.
+EXPIRED_RETENTION_SECONDS = 0.3
+MAXIMUM_EXPIRED_REQUESTS = 8
 MAXIMUM_WATCHED_REQUESTS = 10_000
 MAXIMUM_ROUTES = 256
 # Lowest weight of a sample in the average of a route.
@@ -47,12 +52,18 @@
 REFRESH_INTERVAL_SECONDS = 0.5
 
 _STEP_LOG = math.log(SLOWNESS_STEP)
+_MINIMUM_LOG = math.log(MINIMUM_SLOWNESS)
+_MAXIMUM_LOG = math.log(MAXIMUM_SLOWNESS)
 _MAXIMUM_SAMPLE_LOG = math.log(MAXIMUM_SAMPLE_RATIO)
 _SLOWNESS = {
     step: SLOWNESS_STEP**step for step in range(MINIMUM_STEP, MAXIMUM_STEP + 1)
 }
 
 
+def _limit_deviation(deviation: float) -> float:
+    return max(-_MAXIMUM_SAMPLE_LOG, min(_MAXIMUM_SAMPLE_LOG, deviation))
+
+
 class _Change:
     """Sum deviations in one direction to detect a change of speed (CUSUM test)."""
 
@@ -94,11 +105,17 @@
         The estimate in steps of `SLOWNESS_STEP`, with hysteresis.
     is_slow : bool
         Whether the slowness reached `SLOW` and has not returned to `BACK_TO_NORMAL`.
+    waiting : deque[TimedRequest]
+        Requests that wait at the server for a free slot, in the order of their start.
+    expired : deque[float]
+        Until when the server may work for requests whose count has expired.
     """
 
     __slots__ = (
         "slowness",
         "is_slow",
+        "waiting",
+        "expired",
         "_step",
         "_total",
         "_samples",
@@ -110,6 +127,8 @@
     def __init__(self) -> None:
         self.slowness = 1.0
         self.is_slow = False
+        self.waiting: deque[TimedRequest] = deque()
+        self.expired: deque[float] = deque(maxlen=MAXIMUM_EXPIRED_REQUESTS)
         self._step = 0
         self._total = 0.0
         self._samples = 0.0
@@ -128,9 +147,8 @@
 
     def limit_sample(self, log_ratio: float) -> float:
         """Return a logarithmic ratio, limited to what may enter the estimate."""
-        estimate = self._log_estimate
-        lowest = estimate - _MAXIMUM_SAMPLE_LOG
-        return max(lowest, min(estimate + _MAXIMUM_SAMPLE_LOG, log_ratio))
+        deviation = log_ratio - self._log_estimate
+        return self._log_estimate + _limit_deviation(deviation)
 
     def add(self, log_ratio: float, counted: float | None, now: float) -> bool:
         """Add a sample and return whether the slowness changed.
@@ -147,7 +165,7 @@
             deviation = log_ratio - estimate
         else:
             difference = deviation = log_ratio - counted
-        self._total += difference
+        self._set_estimate(self._total + difference, self._samples)
         if self._samples > MAXIMUM_SAMPLES:
             self._total *= MAXIMUM_SAMPLES / self._samples
             self._samples = MAXIMUM_SAMPLES
@@ -172,11 +190,17 @@
 
     def _replace(self, log_estimate: float, samples: int) -> None:
         """Replace the estimate by that of the samples since the speed changed."""
-        self._samples = min(MAXIMUM_SAMPLES, float(samples))
-        self._total = log_estimate * (self._samples + PRIOR_SAMPLES)
+        limited_samples = min(MAXIMUM_SAMPLES, float(samples))
+        total = log_estimate * (limited_samples + PRIOR_SAMPLES)
+        self._set_estimate(total, limited_samples)
         self._longer.clear()
         self._shorter.clear()
 
+    def _set_estimate(self, total: float, samples: float) -> None:
+        weight = samples + PRIOR_SAMPLES
+        self._total = max(_MINIMUM_LOG * weight, min(_MAXIMUM_LOG * weight, total))
+        self._samples = samples
+
     def _update_step(self) -> bool:
         position = self._log_estimate / _STEP_LOG
         hysteresis = STEP_HYSTERESIS if self._step else AVERAGE_STEP_HYSTERESIS
@@ -202,9 +226,12 @@
         self.log_seconds = 0.0
         self.samples = 0
 
-    def add(self, difference: float, *, is_new: bool) -> None:
-        self.samples += is_new
-        self.log_seconds += max(ROUTE_WEIGHT, 1.0 / self.samples) * difference
+    def add(self, log_seconds: float) -> None:
+        if not self.samples:
+            self.log_seconds = log_seconds
+        self.samples += 1
+        weight = max(ROUTE_WEIGHT, 1.0 / self.samples)
+        self.log_seconds += weight * _limit_deviation(log_seconds - self.log_seconds)
 
 
 class TimedRequest:
@@ -214,12 +241,14 @@
         "target",
         "speed",
         "route",
+        "opened_at",
         "started_at",
-        "log_queueing",
         "counted",
+        "log_average",
         "overdue_count",
         "is_open",
-        "is_watched",
+        "is_established",
+        "is_expired",
     )
 
     def __init__(
@@ -227,37 +256,42 @@
         target: RegisteredTarget,
         speed: ServerSpeed,
         route: _RouteAverage,
-        flows: int,
+        started_at: float | None,
         now: float,
     ) -> None:
         self.target = target
         self.speed = speed
         self.route = route
-        self.started_at = now
-        slots = max(1, target.slots)
-        # Requests beyond the slots wait at the server for one of them to be free.
-        self.log_queueing = math.log(1.0 + max(0, flows + 1 - slots) / slots)
+        self.opened_at = now
+        # When the server had a slot for the request; None before.
+        self.started_at = started_at
+        # The ratio that counts already, and the average that it is relative to.
         self.counted: float | None = None
+        self.log_average = 0.0
         self.overdue_count = 0
         self.is_open = True
-        self.is_watched = False
+        self.is_established = False
+        self.is_expired = False
 
     @property
-    def overdue_at(self) -> float:
+    def has_waited(self) -> bool:
+        """Return whether the request found every slot of its server in use."""
+        return self.started_at != self.opened_at
+
+    def overdue_at(self, started_at: float) -> float:
         """Return when the next multiple of the expected duration is reached."""
-        expected_seconds = math.exp(self.route.log_seconds + self.log_queueing)
-        return self.started_at + OVERDUE_MULTIPLES[self.overdue_count] * (
-            expected_seconds
-        )
+        multiple = OVERDUE_MULTIPLES[self.overdue_count]
+        return started_at + multiple * math.exp(self.route.log_seconds)
 
 
 class ServerSpeeds:
     """Estimate the slowness of servers from the durations of their requests.
 
-    Durations are divided by the time that a request is expected to queue at its server,
-    which follows from the number of flows that it found there: a server with more flows
-    than slots is not slow.  `on_change` is called when a server's slowness changes,
-    and `on_slow` after it when the server becomes slow or is back to normal.
+    A request that finds every slot of its server in use is timed from when enough
+    earlier ones have ended: a server with more flows than slots is not slow.  It is not
+    timed where other hosts count flows, whose ends are not known.  `on_change` is
+    called when a server's slowness changes, and `on_slow` after it when the server
+    becomes slow or is back to normal.
     """
 
     def __init__(
@@ -291,49 +325,103 @@
         target: RegisteredTarget,
         speed: ServerSpeed,
         route: bytes,
-        flows: int,
+        own_flows: int,
+        reported_flows: int,
         now: float,
     ) -> TimedRequest | None:
         """Start to time a request on a server that has some open flows already.
 
-        Return None for a server within its cold start, which is slow for a known
-        reason.
+        Return None if its duration would not show the server's speed.  A server within
+        its cold start is slow for a known reason.
         """
         if now < target.cold_deadline:
             return None
+        self._forget_expired(speed, now)
+        flows = own_flows + reported_flows + len(speed.expired)
+        must_wait = flows >= target.slots
+        if must_wait and reported_flows:
+            return None
         average = self._route_average(target.service, route)
-        return TimedRequest(target, speed, average, flows, now)
-
-    def watch(self, request: TimedRequest) -> None:
-        """Count a request as a sample when it becomes overdue."""
-        if not request.is_watched and len(self._watched) < MAXIMUM_WATCHED_REQUESTS:
-            request.is_watched = True
-            self._push(request)
+        started_at = None if must_wait else now
+        request = TimedRequest(target, speed, average, started_at, now)
+        if must_wait:
+            speed.waiting.append(request)
+        return request
+
+    def start_waiting(
+        self, target: RegisteredTarget, speed: ServerSpeed, flows: int, now: float
+    ) -> None:
+        """Start to time the requests for which a server has slots now."""
+        self._forget_expired(speed, now)
+        waiting_count = max(0, flows + len(speed.expired) - target.slots)
+        while len(speed.waiting) > waiting_count:
+            request = speed.waiting.popleft()
+            request.started_at = now
+            if request.is_established:
+                self._watch(request)
+
+    def establish(self, request: TimedRequest) -> None:
+        """Record that the server has answered, so that the request may get overdue."""
+        if not request.is_established:
+            request.is_established = True
+            self._watch(request)
 
     def finish(self, request: TimedRequest, seconds: float, now: float) -> None:
-        """Record that a request was answered in a time."""
-        if request.is_open:
+        """Record that a request was answered after a time since it was opened."""
+        if request.is_open and request.started_at is not None:
+            waited_seconds = request.started_at - request.opened_at
+            self._count(request, seconds - waited_seconds, now)
+        self.close(request)
+
+    def close(self, request: TimedRequest) -> None:
+        """End the timing of a request that has ended."""
+        request.is_open = False
+        if request.is_expired and request.speed.expired:
+            request.speed.expired.popleft()
+        request.is_expired = False
+
+    def expire(
+        self, speed: ServerSpeed, request: TimedRequest | None, now: float
+    ) -> None:
+        """Record that a flow is no longer counted, although its end is not known.
+
+        The server may still work for it, or its caller has given up.
+        """
+        speed.expired.append(now + EXPIRED_RETENTION_SECONDS)
+        if request is not None:
+            request.is_expired = True
+
+    def _forget_expired(self, speed: ServerSpeed, now: float) -> None:
+        if not speed.expired or now < speed.expired[0]:
+            return
+        while speed.expired and speed.expired[0] <= now:
+            speed.expired.popleft()
+        # It is unknown when the server had slots for the requests that wait.
+        for request in speed.waiting:
             request.is_open = False
-            self._count(request, seconds, now)
+        speed.waiting.clear()
 
     def tick(self, now: float) -> None:
         """Count overdue requests, and let old samples decay."""
         while self._watched and self._watched[0][0] <= now:
             _, _, request = heapq.heappop(self._watched)
-            if not request.is_open or not request.route.samples:
+            started_at = request.started_at
+            if not request.is_open or not request.route.samples or started_at is None:
                 continue
-            if now >= request.overdue_at:
-                self._count(request, now - request.started_at, now)
+            if now >= request.overdue_at(started_at):
+                self._count(request, now - started_at, now)
                 request.overdue_count += 1
             if request.overdue_count < len(OVERDUE_MULTIPLES):
-                self._push(request)
+                self._watch(request)
         if now >= self._refresh_deadline:
             self._refresh_deadline = now + REFRESH_INTERVAL_SECONDS
             self._refresh(now)
 
-    def _push(self, request: TimedRequest) -> None:
-        entry = (request.overdue_at, next(self._sequence), request)
-        heapq.heappush(self._watched, entry)
+    def _watch(self, request: TimedRequest) -> None:
+        if request.started_at is None or len(self._watched) >= MAXIMUM_WATCHED_REQUESTS:
+            return
+        overdue_at = request.overdue_at(request.started_at)
+        heapq.heappush(self._watched, (overdue_at, next(self._sequence), request))
 
     def _refresh(self, now: float) -> None:
         for cookie, (target, speed) in list(self._estimated.items()):
@@ -346,14 +434,13 @@
         if not seconds > MINIMUM_DURATION_SECONDS:
             seconds = MINIMUM_DURATION_SECONDS
         log_seconds = math.log(min(MAXIMUM_DURATION_SECONDS, seconds))
-        log_seconds -= request.log_queueing
         target, speed, route = request.target, request.speed, request.route
-        if not route.samples:
-            route.log_seconds = log_seconds
-        log_ratio = speed.limit_sample(log_seconds - route.log_seconds)
         counted = request.counted
+        if counted is None:
+            request.log_average = route.log_seconds if route.samples else log_seconds
+            route.add(log_seconds)
+        log_ratio = speed.limit_sample(log_seconds - request.log_average)
         request.counted = log_ratio
-        route.add(log_ratio - (counted or 0.0), is_new=counted is None)
         self._estimated[target.cookie] = (target, speed)
         if speed.add(log_ratio, counted, now):
             self._notify(target, speed)
