--- a/src/kingcuppulley/experiments/uneven_servers.py
+++ b/src/kingcuppulley/experiments/uneven_servers.py
@@ -27,7 +27,7 @@
     PlacementOutcome,
 )
 from kingcuppulley.fabric.server_choice import ServerChoice
-from kingcuppulley.fabric.server_speed import TimedRequest
+from kingcuppulley.fabric.server_timing import TimedRequest
 
 SEED = 5
 ZONE = "zone-a"
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -15,7 +15,7 @@
 )
 from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
 from kingcuppulley.fabric.server_choice import ServerChoice
-from kingcuppulley.fabric.server_speed import TimedRequest
+from kingcuppulley.fabric.server_timing import TimedRequest
 
 # A caller that still waits answers a server within this time; one that has
 # disconnected never does.
@@ -174,10 +174,11 @@
         if placed is None:
             return
         if placed.timed_request is not None and placed.timed_request.has_waited:
-            # The end of the request before it was reported too late to time this one.
+            # `seconds` has another start than the time that it waited.
             self._finish_request(placed, None, now)
         self._record_duration(placed, seconds, now)
-        self._uncount(placed, now)
+        # The report follows the answer after a pause.
+        self._uncount(placed, now, is_late=True)
         self._release_queued(placed.target.service, now)
 
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
@@ -326,10 +327,12 @@
         placed.count_deadline = deadline
         heapq.heappush(self._count_deadlines, (deadline, next(self._sequence), placed))
 
-    def _uncount(self, placed: _PlacedFlow, now: float) -> None:
+    def _uncount(
+        self, placed: _PlacedFlow, now: float, *, is_late: bool = False
+    ) -> None:
         if placed.is_counted:
             placed.is_counted = False
-            self._choice.flow_ended(placed.target, now)
+            self._choice.flow_ended(placed.target, now, is_late=is_late)
 
     def _expire(self, placed: _PlacedFlow, now: float) -> None:
         if placed.is_counted:
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -18,7 +18,8 @@
     load_cost,
 )
 from kingcuppulley.fabric.server_load import ServerLoad
-from kingcuppulley.fabric.server_speed import ServerSpeed, ServerSpeeds, TimedRequest
+from kingcuppulley.fabric.server_speed import ServerSpeed
+from kingcuppulley.fabric.server_timing import ServerSpeeds, TimedRequest
 from kingcuppulley.fabric.service_shares import ServiceShares
 
 LOAD_REPORT_VALIDITY_SECONDS = 0.5
@@ -174,7 +175,7 @@
         """Start to time a request, before its flow counts on the server."""
         load = self.load(target.cookie)
         return self._speeds.start(
-            target, load.speed, route, load.own_flows, load.reported_flows, now
+            target, load.timing, route, load.own_flows, load.reported_flows, now
         )
 
     def finish_request(
@@ -187,16 +188,18 @@
             self._speeds.finish(request, seconds, now)
         self._start_waiting(request.target, now)
 
-    def flow_ended(self, target: RegisteredTarget, now: float) -> None:
-        """Count a flow less, because it has ended or pauses."""
+    def flow_ended(
+        self, target: RegisteredTarget, now: float, *, is_late: bool = False
+    ) -> None:
+        """Count a flow less; `is_late` says that the server ended it earlier."""
         self.change_flows(target, -1)
-        self._start_waiting(target, now)
+        self._start_waiting(target, now, is_late=is_late)
 
     def flow_expired(
         self, target: RegisteredTarget, request: TimedRequest | None, now: float
     ) -> None:
         """Count a flow less whose end was not reported."""
-        self._speeds.expire(self.load(target.cookie).speed, request, now)
+        self._speeds.expire(self.load(target.cookie).timing, request, now)
         self.change_flows(target, -1)
 
     def tick(self, now: float) -> None:
@@ -395,9 +398,13 @@
         if target is not None:
             self._move_in_indexes(target, load)
 
-    def _start_waiting(self, target: RegisteredTarget, now: float) -> None:
+    def _start_waiting(
+        self, target: RegisteredTarget, now: float, *, is_late: bool = False
+    ) -> None:
         load = self.load(target.cookie)
-        self._speeds.start_waiting(target, load.speed, load.total_flows, now)
+        self._speeds.start_waiting(
+            target, load.timing, load.total_flows, now, is_late=is_late
+        )
 
     def _move_in_indexes(self, target: RegisteredTarget, load: ServerLoad) -> None:
         for index in self._indexes.get(target.service, {}).values():
--- a/src/kingcuppulley/fabric/server_load.py
+++ b/src/kingcuppulley/fabric/server_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from kingcuppulley.fabric.server_speed import ServerSpeed
+from kingcuppulley.fabric.server_timing import ServerTiming
 
 # An established flow whose end is not reported counts for a multiple of the average
 # duration, within these bounds.
@@ -31,7 +32,7 @@
         Earliest time of the next flow while the server is cold or its zone unreachable.
     average_seconds : float
         Moving average of how long answered flows last.
-    speed : ServerSpeed
+    timing : ServerTiming
         Slowness of the server, relative to the others of its service.
     next_probe_at : float
         Earliest time of the next flow that probes the server while it is slow.
@@ -44,7 +45,7 @@
         "suspicion_deadline",
         "next_placement_at",
         "average_seconds",
-        "speed",
+        "timing",
         "next_probe_at",
     )
 
@@ -55,7 +56,7 @@
         self.suspicion_seconds = SERVER_SUSPICION_SECONDS
         self.suspicion_deadline = 0.0
         self.next_placement_at = 0.0
-        self.speed = ServerSpeed()
+        self.timing = ServerTiming()
         self.next_probe_at = 0.0
 
     @property
@@ -63,6 +64,11 @@
         """Return the known number of open flows, including those of other hosts."""
         return self.own_flows + self.reported_flows
 
+    @property
+    def speed(self) -> ServerSpeed:
+        """Return how slow the server is."""
+        return self.timing.speed
+
     def suspect(self, now: float) -> None:
         """Avoid a server that did not answer, for longer each time until it answers."""
         if now < self.suspicion_deadline:
