--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -182,11 +182,13 @@
         self, request: TimedRequest, seconds: float | None, now: float
     ) -> None:
         """Record when a request was answered, or that it ended without an answer."""
+        was_expired = request.is_expired
         if seconds is None:
             self._speeds.close(request)
         else:
             self._speeds.finish(request, seconds, now)
-        self._start_waiting(request.target, now)
+        if was_expired:
+            self._start_waiting(request.target, now)
 
     def flow_ended(
         self, target: RegisteredTarget, now: float, *, is_late: bool = False
@@ -402,9 +404,10 @@
         self, target: RegisteredTarget, now: float, *, is_late: bool = False
     ) -> None:
         load = self.load(target.cookie)
-        self._speeds.start_waiting(
-            target, load.timing, load.total_flows, now, is_late=is_late
-        )
+        if load.timing.waiting:
+            self._speeds.start_waiting(
+                target, load.timing, load.total_flows, now, is_late=is_late
+            )
 
     def _move_in_indexes(self, target: RegisteredTarget, load: ServerLoad) -> None:
         for index in self._indexes.get(target.service, {}).values():
--- a/src/kingcuppulley/fabric/server_speed.py
+++ b/src/kingcuppulley/fabric/server_speed.py
@@ -65,10 +65,13 @@
 
     def add(self, deviation: float, *, is_new: bool) -> bool:
         """Add a deviation and return whether the speed has changed."""
-        self.sum += deviation - (TOLERATED_DEVIATION if is_new else 0.0)
-        self.samples += is_new
+        self.sum += deviation
+        if is_new:
+            self.sum -= TOLERATED_DEVIATION
+            self.samples += 1
         if self.sum <= 0.0:
-            self.clear()
+            self.sum = 0.0
+            self.samples = 0
         return self.sum > CHANGE_LIMIT
 
     def clear(self) -> None:
@@ -122,76 +125,69 @@
     def _log_estimate(self) -> float:
         return self._total / (self._samples + PRIOR_SAMPLES)
 
-    def limit_sample(self, log_ratio: float) -> float:
-        """Return a logarithmic ratio, limited to what may enter the estimate."""
-        deviation = log_ratio - self._log_estimate
-        return self._log_estimate + limit_deviation(deviation)
+    def add(self, log_ratio: float, counted: float | None, now: float) -> float:
+        """Add the logarithm of a duration over its average; return what was counted.
 
-    def add(self, log_ratio: float, counted: float | None, now: float) -> bool:
-        """Add a sample and return whether the slowness changed.
-
-        `counted` is the ratio with which the same request was counted before, while it
-        was overdue; the new ratio then replaces it.
+        `counted` is what was counted for the same request before, while it was overdue;
+        the new sample then replaces it.
         """
         self._decay(now)
         estimate = self._log_estimate
-        is_new = counted is None
+        deviation = limit_deviation(log_ratio - estimate)
+        limited_ratio = estimate + deviation
         if counted is None:
-            self._samples += 1.0
-            difference = log_ratio
-            deviation = log_ratio - estimate
+            self._set_estimate(self._total + limited_ratio, self._samples + 1.0)
         else:
-            difference = deviation = log_ratio - counted
-        self._set_estimate(self._total + difference, self._samples)
-        if self._samples > MAXIMUM_SAMPLES:
-            self._total *= MAXIMUM_SAMPLES / self._samples
-            self._samples = MAXIMUM_SAMPLES
+            deviation = limited_ratio - counted
+            self._set_estimate(self._total + deviation, self._samples)
+        self._detect_change(estimate, deviation, counted is None)
+        self._update_step()
+        return limited_ratio
+
+    def refresh(self, now: float) -> None:
+        """Apply the decay of old samples."""
+        self._decay(now)
+        self._update_step()
+
+    def _decay(self, now: float) -> None:
+        if now > self._updated_at:
+            factor = math.exp((self._updated_at - now) / SAMPLE_DECAY_SECONDS)
+            self._total *= factor
+            self._samples *= factor
+            self._updated_at = now
+
+    def _detect_change(self, estimate: float, deviation: float, is_new: bool) -> None:
         if self._longer.add(deviation, is_new=is_new):
             self._replace(estimate + self._longer.mean_deviation, self._longer.samples)
         elif self._shorter.add(-deviation, is_new=is_new):
             self._replace(
                 estimate - self._shorter.mean_deviation, self._shorter.samples
             )
-        return self._update_step()
-
-    def refresh(self, now: float) -> bool:
-        """Apply the decay and return whether the slowness changed."""
-        self._decay(now)
-        return self._update_step()
-
-    def _decay(self, now: float) -> None:
-        factor = math.exp(min(0.0, self._updated_at - now) / SAMPLE_DECAY_SECONDS)
-        self._total *= factor
-        self._samples *= factor
-        self._updated_at = max(self._updated_at, now)
 
     def _replace(self, log_estimate: float, samples: int) -> None:
         """Replace the estimate by that of the samples since the speed changed."""
-        limited_samples = min(MAXIMUM_SAMPLES, float(samples))
-        total = log_estimate * (limited_samples + PRIOR_SAMPLES)
-        self._set_estimate(total, limited_samples)
+        self._set_estimate(log_estimate * (samples + PRIOR_SAMPLES), samples)
         self._longer.clear()
         self._shorter.clear()
 
     def _set_estimate(self, total: float, samples: float) -> None:
+        if samples > MAXIMUM_SAMPLES:
+            total *= MAXIMUM_SAMPLES / samples
+            samples = MAXIMUM_SAMPLES
         weight = samples + PRIOR_SAMPLES
         self._total = max(_MINIMUM_LOG * weight, min(_MAXIMUM_LOG * weight, total))
         self._samples = samples
 
-    def _update_step(self) -> bool:
+    def _update_step(self) -> None:
         position = self._log_estimate / _STEP_LOG
         hysteresis = STEP_HYSTERESIS if self._step else AVERAGE_STEP_HYSTERESIS
         if abs(position - self._step) <= hysteresis:
-            return False
-        step = max(MINIMUM_STEP, min(MAXIMUM_STEP, round(position)))
-        if step == self._step:
-            return False
-        self._step = step
+            return
+        step = self._step = max(MINIMUM_STEP, min(MAXIMUM_STEP, round(position)))
         self.slowness = _SLOWNESS[step]
         self.is_slow = self.slowness >= SLOW or (
             self.is_slow and self.slowness > BACK_TO_NORMAL
         )
-        return True
 
 
 class RouteAverage:
--- a/src/kingcuppulley/fabric/server_timing.py
+++ b/src/kingcuppulley/fabric/server_timing.py
@@ -145,7 +145,8 @@
         """
         if now < target.cold_deadline:
             return None
-        self._forget_expired(timing, now)
+        if timing.expired:
+            self._forget_expired(timing, now)
         flows = own_flows + reported_flows + len(timing.expired)
         must_wait = flows >= target.slots
         if must_wait and reported_flows:
@@ -170,7 +171,8 @@
 
         `is_late` says that it has had them for an unknown time.
         """
-        self._forget_expired(timing, now)
+        if timing.expired:
+            self._forget_expired(timing, now)
         waiting_count = max(0, flows + len(timing.expired) - target.slots)
         while len(timing.waiting) > waiting_count:
             request = timing.waiting.popleft()
@@ -213,7 +215,7 @@
             request.is_expired = True
 
     def _forget_expired(self, timing: ServerTiming, now: float) -> None:
-        if not timing.expired or now < timing.expired[0]:
+        if now < timing.expired[0]:
             return
         while timing.expired and timing.expired[0] <= now:
             timing.expired.popleft()
@@ -246,7 +248,9 @@
 
     def _refresh(self, now: float) -> None:
         for cookie, (target, speed) in list(self._estimated.items()):
-            if speed.refresh(now):
+            slowness = speed.slowness
+            speed.refresh(now)
+            if speed.slowness != slowness:
                 self._notify(target, speed)
             if not speed.has_samples:
                 del self._estimated[cookie]
@@ -260,10 +264,12 @@
         if counted is None:
             request.log_average = route.log_seconds if route.samples else log_seconds
             route.add(log_seconds)
-        log_ratio = speed.limit_sample(log_seconds - request.log_average)
-        request.counted = log_ratio
-        self._estimated[target.cookie] = (target, speed)
-        if speed.add(log_ratio, counted, now):
+        slowness = speed.slowness
+        log_ratio = log_seconds - request.log_average
+        request.counted = speed.add(log_ratio, counted, now)
+        if target.cookie not in self._estimated:
+            self._estimated[target.cookie] = (target, speed)
+        if speed.slowness != slowness:
             self._notify(target, speed)
 
     def _notify(self, target: RegisteredTarget, speed: ServerSpeed) -> None:
