Probe slow servers, and let estimates decay only in pauses

Cause: with one or two samples a second the estimate of a server slowed 5 times returned to 2 in 5 s, although each sample confirmed it. Change: samples decay after a pause of 1 s; an idle slow server is probed each second, and after an answer that was faster each 0.25 s.

--- a/src/kingcuppulley/experiments/uneven_servers.py
+++ b/src/kingcuppulley/experiments/uneven_servers.py
@@ -45,7 +45,7 @@
 SLOWED_FACTOR = 5.0
 SLOWED_FROM_SECONDS = 5.0
 SLOWED_UNTIL_SECONDS = 10.0
-DURATION_SECONDS = 15.0
+DURATION_SECONDS = 20.0
 TICK_SECONDS = 0.02
 LOADS = (0.3, 0.6, 0.9, 1.2)
 
@@ -133,6 +133,16 @@
             self._schedule(SLOWED_UNTIL_SECONDS, self._change_speed, number, False)
         self._tell_slowness()
 
+    @property
+    def placement(self) -> Placement:
+        """Return the placement that is simulated."""
+        return self._placement
+
+    @property
+    def now(self) -> float:
+        """Return the simulated time."""
+        return self._now
+
     def run(self, load: float) -> Result:
         """Return the result of a load, as a share of the servers' normal capacity."""
         generator = random.Random(SEED)
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -28,6 +28,8 @@
 ZONE_ANSWER_VALIDITY_SECONDS = 1.0
 # An idle server that is slow gets a flow at least this often, to detect its recovery.
 SLOW_SERVER_PROBE_INTERVAL_SECONDS = 1.0
+# The same after an answer that was faster than expected.
+FASTER_SERVER_PROBE_INTERVAL_SECONDS = 0.25
 # Age of an index of servers after which it is built again: cold starts and suspicions
 # end without notice.
 INDEX_VALIDITY_SECONDS = 0.25
@@ -156,7 +158,11 @@
     def limit_placements(self, target: RegisteredTarget, now: float) -> None:
         """Delay the next flow of a server that is cold or in an unreachable zone."""
         load = self.load(target.cookie)
-        load.next_probe_at = now + SLOW_SERVER_PROBE_INTERVAL_SECONDS
+        load.next_probe_at = now + (
+            FASTER_SERVER_PROBE_INTERVAL_SECONDS
+            if load.speed.may_be_faster
+            else SLOW_SERVER_PROBE_INTERVAL_SECONDS
+        )
         if now < target.cold_deadline:
             load.next_placement_at = now + COLD_SERVER_MINIMUM_INTERVAL_SECONDS
         elif self._rank(target, load, now) == _UNREACHABLE_ZONE_RANK:
@@ -205,7 +211,7 @@
         self.change_flows(target, -1)
 
     def tick(self, now: float) -> None:
-        """Expire reports, and evict the loads of servers that are not registered."""
+        """Expire reports and old samples, and evict what unregistered servers left."""
         self._speeds.tick(now)
         for host, report in list(self._reports.items()):
             if now >= report.deadline:
@@ -214,6 +220,7 @@
         if now >= self._eviction_deadline:
             self._eviction_deadline = now + LOAD_EVICTION_INTERVAL_SECONDS
             self._evict_loads()
+            self._update_probes()
 
     def choose(
         self, request: FlowRequest, excluded_cookies: list[int] | tuple[()], now: float
@@ -281,7 +288,7 @@
                 return target
             next_probe_at = load.next_probe_at
             if next_probe_at <= now:
-                next_probe_at = now + SLOW_SERVER_PROBE_INTERVAL_SECONDS
+                next_probe_at = now + FASTER_SERVER_PROBE_INTERVAL_SECONDS
             heapq.heapreplace(probes, (next_probe_at, cookie))
         return None
 
@@ -289,16 +296,27 @@
         self._move_in_indexes(target, self.load(target.cookie))
 
     def _handle_slow(self, target: RegisteredTarget, speed: ServerSpeed) -> None:
-        is_probed = target.cookie in self._probed_cookies
-        if speed.is_slow and not is_probed and target.zone == self._zone:
-            self._probed_cookies.add(target.cookie)
-            key = (target.service, self._shares.share_of_server(target))
-            next_probe_at = self.load(target.cookie).next_probe_at
-            heapq.heappush(
-                self._probes.setdefault(key, []), (next_probe_at, target.cookie)
-            )
+        if speed.is_slow:
+            self._add_probe(target)
         self._on_slow(target, speed)
 
+    def _add_probe(self, target: RegisteredTarget) -> None:
+        if target.zone != self._zone or target.cookie in self._probed_cookies:
+            return
+        self._probed_cookies.add(target.cookie)
+        key = (target.service, self._shares.share_of_server(target))
+        entry = (self.load(target.cookie).next_probe_at, target.cookie)
+        heapq.heappush(self._probes.setdefault(key, []), entry)
+
+    def _update_probes(self) -> None:
+        """Drop servers that are gone or not slow, and apply changed shares."""
+        cookies, self._probed_cookies = self._probed_cookies, set()
+        self._probes.clear()
+        for cookie in cookies:
+            target = self._registry.by_cookie(cookie)
+            if target is not None and self.load(cookie).speed.is_slow:
+                self._add_probe(target)
+
     def _has_capacity(self, target: RegisteredTarget) -> bool:
         load = self.load(target.cookie)
         return has_capacity(target, load.total_flows, load.speed)
--- a/src/kingcuppulley/fabric/server_speed.py
+++ b/src/kingcuppulley/fabric/server_speed.py
@@ -23,9 +23,11 @@
 # The estimate starts as if the server had this many samples of average duration.
 PRIOR_SAMPLES = 6.0
 MAXIMUM_SAMPLES = 18.0
-SAMPLE_DECAY_SECONDS = 2.5
+SAMPLE_DECAY_SECONDS = 2.2
+# Samples decay only in longer pauses, so that the probes of a slow server confirm it.
+DECAY_PAUSE_SECONDS = 1.0
 # Samples below this decayed number do not change the estimate by a step.
-MINIMUM_SAMPLES = 0.05
+MINIMUM_SAMPLES = 0.15
 # Lowest weight of a sample in the average of a route.
 ROUTE_WEIGHT = 0.05
 # Longest and shortest duration that enters an estimate, relative to what is expected.
@@ -101,7 +103,7 @@
         "_step",
         "_total",
         "_samples",
-        "_updated_at",
+        "_decayed_until",
         "_longer",
         "_shorter",
     )
@@ -112,7 +114,7 @@
         self._step = 0
         self._total = 0.0
         self._samples = 0.0
-        self._updated_at = 0.0
+        self._decayed_until = 0.0
         self._longer = _Change()
         self._shorter = _Change()
 
@@ -121,6 +123,11 @@
         """Return whether the estimate still depends on samples."""
         return self._samples >= MINIMUM_SAMPLES or self._step != 0
 
+    @property
+    def may_be_faster(self) -> bool:
+        """Return whether the latest samples suggest a lower slowness."""
+        return self._shorter.sum > 0.0
+
     @property
     def _log_estimate(self) -> float:
         return self._total / (self._samples + PRIOR_SAMPLES)
@@ -132,6 +139,7 @@
         the new sample then replaces it.
         """
         self._decay(now)
+        self._decayed_until = max(self._decayed_until, now + DECAY_PAUSE_SECONDS)
         estimate = self._log_estimate
         deviation = limit_deviation(log_ratio - estimate)
         limited_ratio = estimate + deviation
@@ -150,11 +158,11 @@
         self._update_step()
 
     def _decay(self, now: float) -> None:
-        if now > self._updated_at:
-            factor = math.exp((self._updated_at - now) / SAMPLE_DECAY_SECONDS)
+        if now > self._decayed_until:
+            factor = math.exp((self._decayed_until - now) / SAMPLE_DECAY_SECONDS)
             self._total *= factor
             self._samples *= factor
-            self._updated_at = now
+            self._decayed_until = now
 
     def _detect_change(self, estimate: float, deviation: float, is_new: bool) -> None:
         if self._longer.add(deviation, is_new=is_new):
--- a/src/kingcuppulley/fabric/server_timing.py
+++ b/src/kingcuppulley/fabric/server_timing.py
@@ -185,6 +185,7 @@
 
     def establish(self, request: TimedRequest) -> None:
         """Record that the server has answered, so that the request may get overdue."""
+        self._count_again(request)
         if not request.is_established:
             request.is_established = True
             self._watch(request)
@@ -199,9 +200,7 @@
     def close(self, request: TimedRequest) -> None:
         """End the timing of a request that has ended."""
         request.is_open = False
-        if request.is_expired and request.timing.expired:
-            request.timing.expired.popleft()
-        request.is_expired = False
+        self._count_again(request)
 
     def expire(
         self, timing: ServerTiming, request: TimedRequest | None, now: float
@@ -214,6 +213,11 @@
         if request is not None:
             request.is_expired = True
 
+    def _count_again(self, request: TimedRequest) -> None:
+        if request.is_expired and request.timing.expired:
+            request.timing.expired.popleft()
+        request.is_expired = False
+
     def _forget_expired(self, timing: ServerTiming, now: float) -> None:
         if now < timing.expired[0]:
             return
