--- a/tests/cover/test_server_speed.py
+++ b/tests/cover/test_server_speed.py
@@ -197,6 +197,25 @@
     assert not placement.choice.speeds._estimated
 
 
+def test_the_answers_on_long_lived_flows_show_a_slow_server():
+    placement = Placement(
+        "zone-a", registry_of({"zone-a": 6}), Random(1), lambda *_: None
+    )
+    placed = {}
+    for number in range(6):
+        flow = b"flow-%d" % number
+        placed[flow] = placement.open_flow(flow_request(flow, 0.0), 0.0).target
+    assert len(set(placed.values())) == 6
+    for request in range(8):
+        for flow, target in placed.items():
+            sent_at = 0.1 + 0.3 * request
+            placement.flow_established(flow, sent_at)
+            seconds = 0.15 if target is target_in(placement) else 0.03
+            placement.flow_answered(flow, seconds, sent_at + seconds + 0.03)
+    assert placement.choice.speeds.slow_count == 1
+    assert speed_in(placement).slowness > SLOW
+
+
 def test_overdue_requests_show_a_slow_server_before_its_answers_arrive():
     placement = Placement(
         "zone-a", registry_of({"zone-a": 3}), Random(1), lambda *_: None
