Detect a change of speed against the estimate before it

Cause: the estimate follows the samples, so their deviations from it shrank and a new coordinator needed up to 2.5 s to see a server slowed 5 times. Change: deviations are counted from the estimate at which the sum was last 0.

--- a/src/kingcuppulley/fabric/server_speed.py
+++ b/src/kingcuppulley/fabric/server_speed.py
@@ -35,7 +35,7 @@
 # A sum of logarithmic deviations, each less the tolerated one, beyond the limit shows
 # that the speed has changed.  Two requests of the highest ratio are not enough.
 TOLERATED_DEVIATION = 0.6
-CHANGE_LIMIT = 2.8
+CHANGE_LIMIT = 3.0
 
 _STEP_LOG = math.log(SLOWNESS_STEP)
 _MINIMUM_LOG = math.log(MINIMUM_SLOWNESS)
@@ -52,34 +52,41 @@
 
 
 class _Change:
-    """Sum deviations in one direction to detect a change of speed (CUSUM test)."""
+    """Sum deviations in one direction to detect a change of speed (CUSUM test).
 
-    __slots__ = ("sum", "samples")
+    They are deviations from the estimate at the time when the sum was last 0.
+    `direction` is 1 or -1.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("sum", "samples", "_direction", "_reference")
+
+    def __init__(self, direction: int) -> None:
         self.sum = 0.0
         self.samples = 0
+        self._direction = direction
+        self._reference = 0.0
 
     @property
-    def mean_deviation(self) -> float:
-        """Return the mean deviation since the sum was last 0."""
-        return self.sum / max(1, self.samples) + TOLERATED_DEVIATION
-
-    def add(self, deviation: float, *, is_new: bool) -> bool:
-        """Add a deviation and return whether the speed has changed."""
-        self.sum += deviation
-        if is_new:
-            self.sum -= TOLERATED_DEVIATION
+    def log_estimate(self) -> float:
+        """Return the mean of the samples since the sum was last 0."""
+        mean_deviation = self.sum / max(1, self.samples) + TOLERATED_DEVIATION
+        return self._reference + self._direction * mean_deviation
+
+    def add(self, log_ratio: float, counted: float | None) -> bool:
+        """Add a sample or replace one, and return whether the speed has changed."""
+        if counted is None:
+            deviation = (log_ratio - self._reference) * self._direction
+            self.sum += deviation - TOLERATED_DEVIATION
             self.samples += 1
-        if self.sum <= 0.0:
-            self.sum = 0.0
-            self.samples = 0
+        else:
+            self.sum += (log_ratio - counted) * self._direction
         return self.sum > CHANGE_LIMIT
 
-    def clear(self) -> None:
-        """Forget all deviations."""
+    def clear(self, log_estimate: float) -> None:
+        """Forget all samples."""
         self.sum = 0.0
         self.samples = 0
+        self._reference = log_estimate
 
 
 class ServerSpeed:
@@ -115,8 +122,8 @@
         self._total = 0.0
         self._samples = 0.0
         self._decayed_until = 0.0
-        self._longer = _Change()
-        self._shorter = _Change()
+        self._longer = _Change(1)
+        self._shorter = _Change(-1)
 
     @property
     def has_samples(self) -> bool:
@@ -141,14 +148,13 @@
         self._decay(now)
         self._decayed_until = max(self._decayed_until, now + DECAY_PAUSE_SECONDS)
         estimate = self._log_estimate
-        deviation = limit_deviation(log_ratio - estimate)
-        limited_ratio = estimate + deviation
+        limited_ratio = estimate + limit_deviation(log_ratio - estimate)
         if counted is None:
             self._set_estimate(self._total + limited_ratio, self._samples + 1.0)
         else:
-            deviation = limited_ratio - counted
-            self._set_estimate(self._total + deviation, self._samples)
-        self._detect_change(estimate, deviation, counted is None)
+            self._set_estimate(self._total + limited_ratio - counted, self._samples)
+        for change in (self._longer, self._shorter):
+            self._detect_change(change, limited_ratio, counted)
         self._update_step()
         return limited_ratio
 
@@ -164,19 +170,17 @@
             self._samples *= factor
             self._decayed_until = now
 
-    def _detect_change(self, estimate: float, deviation: float, is_new: bool) -> None:
-        if self._longer.add(deviation, is_new=is_new):
-            self._replace(estimate + self._longer.mean_deviation, self._longer.samples)
-        elif self._shorter.add(-deviation, is_new=is_new):
-            self._replace(
-                estimate - self._shorter.mean_deviation, self._shorter.samples
-            )
-
-    def _replace(self, log_estimate: float, samples: int) -> None:
-        """Replace the estimate by that of the samples since the speed changed."""
-        self._set_estimate(log_estimate * (samples + PRIOR_SAMPLES), samples)
-        self._longer.clear()
-        self._shorter.clear()
+    def _detect_change(
+        self, change: _Change, log_ratio: float, counted: float | None
+    ) -> None:
+        """Replace the estimate if the latest samples show another speed."""
+        if change.add(log_ratio, counted):
+            weight = change.samples + PRIOR_SAMPLES
+            self._set_estimate(change.log_estimate * weight, change.samples)
+            self._longer.clear(self._log_estimate)
+            self._shorter.clear(self._log_estimate)
+        elif change.sum <= 0.0:
+            change.clear(self._log_estimate)
 
     def _set_estimate(self, total: float, samples: float) -> None:
         if samples > MAXIMUM_SAMPLES:
