--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -319,7 +319,7 @@
 
     def _has_capacity(self, target: RegisteredTarget) -> bool:
         load = self.load(target.cookie)
-        return has_capacity(target, load.total_flows, load.speed)
+        return has_capacity(target.slots, load.total_flows, load.speed.slowness)
 
     def _candidates(self, service: str, share: int) -> Iterator[RegisteredTarget]:
         """Return the servers in service that the flows of a share may use."""
@@ -371,7 +371,8 @@
             flows = load.total_flows
             tie_break_cost = MAXIMUM_TIE_BREAK_COST * self._generator.random()
             is_own = self._is_own(target, share)
-            cost = load_cost(target, flows, load.speed, is_own=is_own) + tie_break_cost
+            cost = load_cost(target.slots, flows, load.speed.slowness, is_own=is_own)
+            cost += tie_break_cost
             if (rank, cost) < best_key:
                 best = target
                 best_key = (rank, cost)
--- a/src/kingcuppulley/fabric/server_index.py
+++ b/src/kingcuppulley/fabric/server_index.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from random import Random
 
 from kingcuppulley.backend_servers.target_registry import RegisteredTarget
@@ -14,26 +15,26 @@
 MAXIMUM_SERVER_QUEUE_PER_SLOT = 1
 # Sums of equal costs must be equal, so that equal servers tie.
 COST_DECIMALS = 9
+MAXIMUM_CACHED_COSTS = 2048
 
 
-def has_capacity(target: RegisteredTarget, flows: int, speed: ServerSpeed) -> bool:
+def has_capacity(slots: int, flows: int, slowness: float) -> bool:
     """Return whether a server may get another flow; a slow one has no queue."""
-    queue_per_slot = 0 if speed.slowness > SLOW else MAXIMUM_SERVER_QUEUE_PER_SLOT
-    return flows < target.slots * (1 + queue_per_slot)
+    queue_per_slot = 0 if slowness > SLOW else MAXIMUM_SERVER_QUEUE_PER_SLOT
+    return flows < slots * (1 + queue_per_slot)
 
 
-def load_cost(
-    target: RegisteredTarget, flows: int, speed: ServerSpeed, *, is_own: bool
-) -> float:
+# It is computed for two servers per flow, but its arguments take few values.
+@lru_cache(maxsize=MAXIMUM_CACHED_COSTS)
+def load_cost(slots: int, flows: int, slowness: float, *, is_own: bool) -> float:
     """Return the cost of one more flow on a server: when it expects to answer it.
 
     `is_own` says whether the server belongs to the share of the host that chooses.  A
     fast server that is full costs as much as an average one, and a slow server with a
     free slot less: a flow is queued only if no server of the share can take it.
     """
-    slots = max(1, target.slots)
-    slowness = speed.slowness
-    if slowness < 1.0 and not has_capacity(target, flows, speed):
+    slots = max(1, slots)
+    if slowness < 1.0 and not has_capacity(slots, flows, slowness):
         slowness = 1.0
     cost = (flows + 1) / slots * slowness
     if slowness > 1.0 and flows < slots:
@@ -53,7 +54,7 @@
         self.target = target
         self.speed = speed
         self.is_own = is_own
-        self.cost = load_cost(target, flows, speed, is_own=is_own)
+        self.cost = load_cost(target.slots, flows, speed.slowness, is_own=is_own)
         self.position = 0
 
 
@@ -104,7 +105,7 @@
             return
         self._take_out(server)
         server.cost = load_cost(
-            server.target, flows, server.speed, is_own=server.is_own
+            server.target.slots, flows, server.speed.slowness, is_own=server.is_own
         )
         self._insert(server)
 
--- a/tests/cover/test_server_speed.py
+++ b/tests/cover/test_server_speed.py
@@ -40,9 +40,9 @@
 WORK_SECONDS = 0.05
 
 
-def cost_by_flows_alone(target, flows, speed, *, is_own):
+def cost_by_flows_alone(slots, flows, slowness, *, is_own):
     """The cost of servers before their speed was estimated."""
-    cost = flows / max(1, target.slots)
+    cost = flows / slots
     return cost if is_own else cost + OTHER_SHARE_COST
 
 
@@ -148,10 +148,9 @@
 
 
 def test_a_slow_server_has_no_queue_beyond_its_slots():
-    (target,) = registry_of({"zone-a": 1}).of_service(SERVICE)
-    assert has_capacity(target, 3, ServerSpeed())
-    assert has_capacity(target, 1, speed_of(2.44))
-    assert not has_capacity(target, 2, speed_of(2.44))
+    assert has_capacity(2, 3, 1.0)
+    assert has_capacity(2, 1, 2.44)
+    assert not has_capacity(2, 2, 2.44)
 
 
 def test_an_idle_slow_server_is_probed_each_second_by_one_flow():
