--- a/src/kingcuppulley/experiments/queue_order.py
+++ b/src/kingcuppulley/experiments/queue_order.py
@@ -191,7 +191,7 @@
 
         def finish(at: float) -> None:
             self._open_count -= 1
-            self._queue.record_duration(at - now, request.route, started_at - now)
+            self._queue.record_duration(at - now, request.route, at - started_at)
             self._release(at)
 
         self._schedule(end, finish)
--- a/src/kingcuppulley/fabric/flow_queue.py
+++ b/src/kingcuppulley/fabric/flow_queue.py
@@ -78,18 +78,17 @@
         return flow in self._by_flow
 
     def record_duration(
-        self, seconds: float, route: bytes = b"", waited_seconds: float | None = 0.0
+        self, seconds: float, route: bytes = b"", work_seconds: float | None = None
     ) -> None:
-        """Record how long an answered flow lasted, and how long it waited for a slot.
+        """Record how long an answered flow lasted, and its server's work for it.
 
-        The work of its route is the duration without the wait; it is not recorded if
-        the wait is unknown.
+        The work leaves out the wait for a slot; it is None if it is not known.
         """
         self._average_duration_seconds += DURATION_WEIGHT * (
             seconds - self._average_duration_seconds
         )
-        if waited_seconds is not None:
-            self._shares.record_work(route, seconds - waited_seconds)
+        if work_seconds is not None:
+            self._shares.record_work(route, work_seconds)
 
     def copy(self) -> FlowQueue:
         """Return a copy on which operations can be tried without an effect.
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -15,6 +15,7 @@
 )
 from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
 from kingcuppulley.fabric.server_choice import ServerChoice
+from kingcuppulley.fabric.server_timing import TimedRequest
 
 # A caller that still waits answers a server within this time; one that has
 # disconnected never does.
@@ -63,29 +64,26 @@
     """Hold where a flow was placed and until when it counts as open.
 
     `unanswered_cookies` names the servers that it was placed on before and that did not
-    answer its caller.  `waited_seconds` is how long it waited for a slot of its server
-    since `counted_at`, or None while it waits.
+    answer its caller.
     """
 
     __slots__ = (
         "target",
-        "route",
         "placed_at",
         "is_counted",
-        "counted_at",
-        "waited_seconds",
         "count_deadline",
         "is_duration_recorded",
         "unanswered_cookies",
+        "route",
+        "timed_request",
     )
 
     def __init__(self, target: RegisteredTarget, route: bytes, now: float) -> None:
         self.target = target
         self.route = route
+        self.timed_request: TimedRequest | None = None
         self.placed_at = now
-        self.is_counted = False
-        self.counted_at = now
-        self.waited_seconds: float | None = 0.0
+        self.is_counted = True
         self.count_deadline = 0.0
         self.is_duration_recorded = False
         self.unanswered_cookies: list[int] = []
@@ -115,8 +113,6 @@
         self._flows: dict[bytes, _PlacedFlow] = {}
         self._count_deadlines: list[tuple[float, int, _PlacedFlow]] = []
         self._retention_deadlines: deque[tuple[float, bytes, _PlacedFlow]] = deque()
-        # By cookie, the flows that wait for a slot of their server, oldest first.
-        self._waiting: dict[int, deque[_PlacedFlow]] = {}
         self._queues: dict[str, FlowQueue] = {}
         self._discovery_deadline = 0.0
         self._sequence = count()
@@ -169,7 +165,12 @@
         if placed is None:
             return
         if not placed.is_counted:
-            self._start_count(placed, now)
+            placed.is_counted = True
+            if placed.timed_request is None and placed.is_duration_recorded:
+                self._start_request(placed, now)
+            self._choice.change_flows(placed.target, 1)
+        if placed.timed_request is not None:
+            self._choice.speeds.establish(placed.timed_request)
         load = self._choice.load(placed.target.cookie)
         self._count_until(placed, load.count_deadline(now))
 
@@ -181,8 +182,12 @@
         placed = self._flows.get(flow)
         if placed is None:
             return
+        if placed.timed_request is not None and placed.timed_request.has_waited:
+            # `seconds` has another start than the time that it waited.
+            self._finish_request(placed, None, now)
         self._record_duration(placed, seconds, now)
-        self._uncount(placed, now)
+        # The report follows the answer after a pause.
+        self._uncount(placed, now, is_late=True)
         self._release_queued(placed.target.service, now)
 
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
@@ -192,14 +197,31 @@
             return
         if was_answered and not placed.is_duration_recorded:
             self._record_duration(placed, now - placed.placed_at, now)
+        self._finish_request(placed, None, now)
         self._uncount(placed, now)
         self._release_queued(placed.target.service, now)
 
+    def _start_request(self, placed: _PlacedFlow, now: float) -> None:
+        placed.timed_request = self._choice.start_request(
+            placed.target, placed.route, now
+        )
+
+    def _finish_request(
+        self, placed: _PlacedFlow, seconds: float | None, now: float
+    ) -> None:
+        request = placed.timed_request
+        if request is not None:
+            placed.timed_request = None
+            self._choice.finish_request(request, seconds, now)
+
     def _record_duration(self, placed: _PlacedFlow, seconds: float, now: float) -> None:
         placed.is_duration_recorded = True
         self._choice.record_answer(placed.target, seconds, now)
+        request = placed.timed_request
+        work_seconds = None if request is None else request.work_seconds(seconds)
+        self._finish_request(placed, seconds, now)
         queue = self._queue_of(placed.target.service)
-        queue.record_duration(seconds, placed.route, placed.waited_seconds)
+        queue.record_duration(seconds, placed.route, work_seconds)
 
     def tick(self, now: float) -> None:
         """Expire old flows, then release or drop queued flows."""
@@ -207,7 +229,7 @@
         while self._count_deadlines and self._count_deadlines[0][0] <= now:
             deadline, _, placed = heapq.heappop(self._count_deadlines)
             if placed.is_counted and deadline == placed.count_deadline:
-                self._uncount(placed, now)
+                self._expire(placed, now)
                 services.add(placed.target.service)
         while self._retention_deadlines and self._retention_deadlines[0][0] <= now:
             _, flow, placed = self._retention_deadlines.popleft()
@@ -226,12 +248,13 @@
         unanswered_target = placed.target
         self._choice.load(unanswered_target.cookie).suspect(now)
         placed.unanswered_cookies.append(unanswered_target.cookie)
+        self._finish_request(placed, None, now)
         target = self._choice.choose(request, placed.unanswered_cookies, now)[0]
         if target is None:
             return PlacementDecision(
                 PlacementOutcome.PLACED, unanswered_target, "no other server"
             )
-        self._uncount(placed, now)
+        self._expire(placed, now)
         self._count(placed, target, now)
         return PlacementDecision(
             PlacementOutcome.PLACED, target, "no answer from the first server"
@@ -274,6 +297,8 @@
             (now + PLACEMENT_RETENTION_SECONDS, request.flow, placed)
         )
         load = self._choice.load(target.cookie).total_flows
+        if not request.retransmission:
+            self._start_request(placed, now)
         self._count(placed, target, now)
         return PlacementDecision(PlacementOutcome.PLACED, target, LEAST_LOAD, load)
 
@@ -309,7 +334,8 @@
 
     def _count(self, placed: _PlacedFlow, target: RegisteredTarget, now: float) -> None:
         placed.target = target
-        self._start_count(placed, now)
+        placed.is_counted = True
+        self._choice.change_flows(target, 1)
         self._choice.limit_placements(target, now)
         placed.placed_at = now
         self._count_until(placed, now + ESTABLISHMENT_TIMEOUT_SECONDS)
@@ -318,29 +344,14 @@
         placed.count_deadline = deadline
         heapq.heappush(self._count_deadlines, (deadline, next(self._sequence), placed))
 
-    def _start_count(self, placed: _PlacedFlow, now: float) -> None:
-        target = placed.target
-        placed.is_counted = True
-        placed.counted_at = now
-        placed.waited_seconds = 0.0
-        self._choice.change_flows(target, 1)
-        if self._choice.load(target.cookie).total_flows > target.slots:
-            placed.waited_seconds = None
-            self._waiting.setdefault(target.cookie, deque()).append(placed)
-
-    def _uncount(self, placed: _PlacedFlow, now: float) -> None:
-        if not placed.is_counted:
-            return
-        placed.is_counted = False
-        cookie = placed.target.cookie
-        self._choice.change_flows(placed.target, -1)
-        waiting = self._waiting.get(cookie)
-        if waiting is None:
-            return
-        if placed.waited_seconds is None:
-            waiting.remove(placed)
-        else:
-            following = waiting.popleft()
-            following.waited_seconds = now - following.counted_at
-        if not waiting:
-            del self._waiting[cookie]
+    def _uncount(
+        self, placed: _PlacedFlow, now: float, *, is_late: bool = False
+    ) -> None:
+        if placed.is_counted:
+            placed.is_counted = False
+            self._choice.flow_ended(placed.target, now, is_late=is_late)
+
+    def _expire(self, placed: _PlacedFlow, now: float) -> None:
+        if placed.is_counted:
+            placed.is_counted = False
+            self._choice.flow_expired(placed.target, placed.timed_request, now)
--- a/src/kingcuppulley/fabric/placement_explanation.py
+++ b/src/kingcuppulley/fabric/placement_explanation.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from kingcuppulley.backend_servers.target_registry import RegisteredTarget
 from kingcuppulley.entry_hosts.coordinator_table import CoordinatorTable
 from kingcuppulley.fabric.cookie_router import ANSWER_TRAVEL_SECONDS
 from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
@@ -40,8 +41,10 @@
         Open flows that the host knows of.
     rank : str
         Servers are compared by rank first and by cost second.
+    slowness : float
+        How long requests take, relative to an average server of the service.
     cost : float
-        Flows per slot, and more for servers of other shares and zones.
+        Flows per slot times slowness, and more for servers of other shares and zones.
     has_capacity : bool
         Whether a flow would be placed on the server instead of being queued.
     may_be_chosen : bool
@@ -53,6 +56,7 @@
     rank: str
     flows: int
     slots: int
+    slowness: float
     cost: float
     has_capacity: bool
     may_be_chosen: bool
@@ -151,7 +155,8 @@
         coordinator = self._coordinators.coordinator(self._zone, service, now, share)
         is_coordinator = coordinator in (None, self._address)
         servers = choice.ranked_servers(service, share, now)
-        contenders = _find_contenders(servers)
+        probed = choice.due_probe(service, share, now)
+        contenders = _find_contenders(servers, probed)
         queue = self._placement.queue_of(service)
         queue = FlowQueue() if queue is None else queue.copy()
         explained_queue = ExplainedQueue(
@@ -245,8 +250,12 @@
     return "every server that may be chosen is full"
 
 
-def _find_contenders(servers: list[RankedServer]) -> list[RankedServer]:
-    """Return the servers that the tie break could choose."""
+def _find_contenders(
+    servers: list[RankedServer], probed: RegisteredTarget | None
+) -> list[RankedServer]:
+    """Return the servers that the tie break could choose, or the one to probe."""
+    if probed is not None:
+        return [server for server in servers if server.target is probed]
     usable = [server for server in servers if server.may_be_used]
     return [
         server
@@ -263,6 +272,7 @@
         rank=server.rank_name,
         flows=server.flows,
         slots=server.target.slots,
+        slowness=round(server.slowness, 2),
         cost=round(server.cost, 3),
         has_capacity=server.has_capacity,
         may_be_chosen=may_be_chosen,
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -13,17 +13,19 @@
 from kingcuppulley.fabric.server_index import (
     MAXIMUM_TIE_BREAK_COST,
     ServerIndex,
+    has_capacity,
     load_cost,
 )
 from kingcuppulley.fabric.server_load import ServerLoad
+from kingcuppulley.fabric.server_speed import ServerSpeed
+from kingcuppulley.fabric.server_timing import ServerSpeeds, TimedRequest
 from kingcuppulley.fabric.service_shares import ServiceShares
+from kingcuppulley.fabric.slow_probes import SlowServerProbes
 
 LOAD_REPORT_VALIDITY_SECONDS = 0.5
 COLD_SERVER_MINIMUM_INTERVAL_SECONDS = 0.6
 UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS = 0.25
 ZONE_ANSWER_VALIDITY_SECONDS = 1.0
-# Flows that a server may have beyond its slots, for each slot.
-MAXIMUM_SERVER_QUEUE_PER_SLOT = 1
 # Age of an index of servers after which it is built again: cold starts and suspicions
 # end without notice.
 INDEX_VALIDITY_SECONDS = 0.25
@@ -58,19 +60,21 @@
     `may_be_used` is false for a server that gets no flow before a later time.
     """
 
-    __slots__ = ("target", "rank", "flows", "cost", "may_be_used")
+    __slots__ = ("target", "rank", "flows", "slowness", "cost", "may_be_used")
 
     def __init__(
         self,
         target: RegisteredTarget,
         rank: int,
         flows: int,
+        slowness: float,
         cost: float,
         may_be_used: bool,
     ) -> None:
         self.target = target
         self.rank = rank
         self.flows = flows
+        self.slowness = slowness
         self.cost = cost
         self.may_be_used = may_be_used
 
@@ -82,7 +86,7 @@
     @property
     def has_capacity(self) -> bool:
         """Return whether a flow would be placed on the server now."""
-        return _has_capacity(self.target, self.flows)
+        return has_capacity(self.target.slots, self.flows, self.slowness)
 
     @property
     def counted_slots(self) -> int:
@@ -107,12 +111,20 @@
         self._zones_out: frozenset[str] = frozenset()
         self._unreachable_zones: frozenset[str] = frozenset()
         self._may_place_on_cold: Callable[[RegisteredTarget], bool] = lambda _: True
+        self._speeds = ServerSpeeds(self._move_changed, self._handle_slow)
+        self._on_slow: Callable[[RegisteredTarget, ServerSpeed], None] = lambda *_: None
+        self._probes = SlowServerProbes(registry, self._shares, self._loads)
 
     @property
     def shares(self) -> ServiceShares:
         """Return the shares into which the servers are divided."""
         return self._shares
 
+    @property
+    def speeds(self) -> ServerSpeeds:
+        """Return the estimates of how slow the servers are."""
+        return self._speeds
+
     @property
     def open_count(self) -> int:
         """Return how many flows of this host are counted as open."""
@@ -133,6 +145,12 @@
         """Set the rule for which cold servers this host may place flows on."""
         self._may_place_on_cold = may_place_on_cold
 
+    def set_slow_server_observer(
+        self, on_slow: Callable[[RegisteredTarget, ServerSpeed], None]
+    ) -> None:
+        """Set what is called when a server becomes slow or is back to normal."""
+        self._on_slow = on_slow
+
     def own_loads(self) -> dict[str, list[tuple[int, int]]]:
         """Return the cookie and open flows of each server that this host uses.
 
@@ -174,6 +192,7 @@
     def limit_placements(self, target: RegisteredTarget, now: float) -> None:
         """Delay the next flow of a server that is cold or in an unreachable zone."""
         load = self.load(target.cookie)
+        self._probes.record_placement(load, now)
         if now < target.cold_deadline:
             load.next_placement_at = now + COLD_SERVER_MINIMUM_INTERVAL_SECONDS
         elif self._rank(target, load, now) == _UNREACHABLE_ZONE_RANK:
@@ -186,8 +205,44 @@
         self._zone_answered_at[target.zone] = now
         self.load(target.cookie).record_duration(seconds)
 
+    def start_request(
+        self, target: RegisteredTarget, route: bytes, now: float
+    ) -> TimedRequest | None:
+        """Start to time a request, before its flow counts on the server."""
+        load = self.load(target.cookie)
+        return self._speeds.start(
+            target, load.timing, route, load.own_flows, load.reported_flows, now
+        )
+
+    def finish_request(
+        self, request: TimedRequest, seconds: float | None, now: float
+    ) -> None:
+        """Record when a request was answered, or that it ended without an answer."""
+        was_expired = request.is_expired
+        if seconds is None:
+            self._speeds.close(request)
+        else:
+            self._speeds.finish(request, seconds, now)
+        if was_expired:
+            self._start_waiting(request.target, now)
+
+    def flow_ended(
+        self, target: RegisteredTarget, now: float, *, is_late: bool = False
+    ) -> None:
+        """Count a flow less; `is_late` says that the server ended it earlier."""
+        self.change_flows(target, -1)
+        self._start_waiting(target, now, is_late=is_late)
+
+    def flow_expired(
+        self, target: RegisteredTarget, request: TimedRequest | None, now: float
+    ) -> None:
+        """Count a flow less whose end was not reported."""
+        self._speeds.expire(self.load(target.cookie).timing, request, now)
+        self.change_flows(target, -1)
+
     def tick(self, now: float) -> None:
-        """Expire reports, and evict the loads of servers that are not registered."""
+        """Expire reports and old samples, and evict what unregistered servers left."""
+        self._speeds.tick(now)
         for host, report in list(self._reports.items()):
             if now >= report.deadline:
                 self._replace_report(report, {})
@@ -195,6 +250,7 @@
         if now >= self._eviction_deadline:
             self._eviction_deadline = now + LOAD_EVICTION_INTERVAL_SECONDS
             self._evict_loads()
+            self._probes.update()
 
     def choose(
         self, request: FlowRequest, excluded_cookies: list[int] | tuple[()], now: float
@@ -207,10 +263,14 @@
         share = self._shares.share_of_flow(self._zone, service, request.flow)
         if not excluded_cookies:
             index = self._index_of(service, share, now)
+            probed = self._probes.next_due(
+                service, share, lambda t: self._may_probe(t, share, now), now
+            )
+            if probed is not None:
+                return probed, True, index.slots
             while (target := index.choose(self._generator)) is not None:
                 if self._is_usable(target, now):
-                    flows = self.load(target.cookie).total_flows
-                    return target, _has_capacity(target, flows), index.slots
+                    return target, self._has_capacity(target), index.slots
                 index.remove(target.cookie)
         return self._compare_all(service, share, excluded_cookies, now)
 
@@ -226,12 +286,27 @@
             load = self._loads.get(target.cookie) or ServerLoad()
             rank = self._rank(target, load, now)
             flows = load.total_flows
-            cost = load_cost(target, flows, is_own=self._is_own(target, share))
+            slowness = load.speed.slowness
+            is_own = self._is_own(target, share)
+            cost = load_cost(target.slots, flows, slowness, is_own=is_own)
             may_be_used = self._may_use(target, rank, load, now)
-            servers.append(RankedServer(target, rank, flows, cost, may_be_used))
+            servers.append(
+                RankedServer(target, rank, flows, slowness, cost, may_be_used)
+            )
         servers.sort(key=lambda server: (server.rank, server.cost, server.target.name))
         return servers
 
+    def due_probe(
+        self, service: str, share: int, now: float
+    ) -> RegisteredTarget | None:
+        """Return the slow server that the next flow of a share would probe, or None.
+
+        Nothing is changed.
+        """
+        return self._probes.peek_due(
+            service, share, lambda t: self._may_probe(t, share, now), now
+        )
+
     def _index_of(self, service: str, share: int, now: float) -> ServerIndex:
         indexes = self._indexes.setdefault(service, {})
         index = indexes.get(share)
@@ -252,9 +327,24 @@
                 index.slots += target.slots
             if rank == 0:
                 is_own = self._is_own(target, share)
-                index.add(target, load.total_flows, is_own=is_own)
+                index.add(target, load.total_flows, load.speed, is_own=is_own)
         return index
 
+    def _may_probe(self, target: RegisteredTarget, share: int, now: float) -> bool:
+        return self._is_own(target, share) and self._is_usable(target, now)
+
+    def _move_changed(self, target: RegisteredTarget) -> None:
+        self._move_in_indexes(target, self.load(target.cookie))
+
+    def _handle_slow(self, target: RegisteredTarget, speed: ServerSpeed) -> None:
+        if speed.is_slow and target.zone == self._zone:
+            self._probes.add(target)
+        self._on_slow(target, speed)
+
+    def _has_capacity(self, target: RegisteredTarget) -> bool:
+        load = self.load(target.cookie)
+        return has_capacity(target.slots, load.total_flows, load.speed.slowness)
+
     def _candidates(self, service: str, share: int) -> Iterator[RegisteredTarget]:
         """Return the servers in service that the flows of a share may use."""
         for target in self._registry.of_service(service):
@@ -305,11 +395,12 @@
             flows = load.total_flows
             tie_break_cost = MAXIMUM_TIE_BREAK_COST * self._generator.random()
             is_own = self._is_own(target, share)
-            cost = load_cost(target, flows, is_own=is_own) + tie_break_cost
+            cost = load_cost(target.slots, flows, load.speed.slowness, is_own=is_own)
+            cost += tie_break_cost
             if (rank, cost) < best_key:
                 best = target
                 best_key = (rank, cost)
-                best_has_capacity = _has_capacity(target, flows)
+                best_has_capacity = self._has_capacity(target)
         return best, best_has_capacity, slots
 
     def _rank(self, target: RegisteredTarget, load: ServerLoad, now: float) -> int:
@@ -352,10 +443,15 @@
         if target is not None:
             self._move_in_indexes(target, load)
 
+    def _start_waiting(
+        self, target: RegisteredTarget, now: float, *, is_late: bool = False
+    ) -> None:
+        load = self.load(target.cookie)
+        if load.timing.waiting:
+            self._speeds.start_waiting(
+                target, load.timing, load.total_flows, now, is_late=is_late
+            )
+
     def _move_in_indexes(self, target: RegisteredTarget, load: ServerLoad) -> None:
         for index in self._indexes.get(target.service, {}).values():
             index.move(target.cookie, load.total_flows)
-
-
-def _has_capacity(target: RegisteredTarget, flows: int) -> bool:
-    return flows < target.slots * (1 + MAXIMUM_SERVER_QUEUE_PER_SLOT)
--- a/tests/cover/test_fair_shares.py
+++ b/tests/cover/test_fair_shares.py
@@ -138,7 +138,8 @@
         route = b"%d" % (flow % len(objectives))
         if kind == "answer":
             # Averages of equal works differ by chance.
-            queue.record_duration(0.02 + 0.003 * number, route)
+            seconds = 0.02 + 0.003 * number
+            queue.record_duration(seconds, route, seconds)
             reference.record_duration(0.02 + 0.003 * number)
         elif kind in ("open", "retransmit"):
             name = b"%d" % (flow if kind == "retransmit" else 100 + position)
@@ -200,7 +201,7 @@
     queue = FlowQueue()
     for _ in range(100):
         for route, seconds in works.items():
-            queue.record_duration(seconds, route)
+            queue.record_duration(seconds, route, seconds)
     for number in range(40):
         for route in works:
             flow = route + b"-%d" % number
@@ -316,7 +317,7 @@
             for dropped in queue.requests_to_drop(now):
                 queue.remove(dropped)
         elif kind == "answer":
-            queue.record_duration(0.005 * 4**number, route)
+            queue.record_duration(0.005 * 4**number, route, 0.005 * 4**number)
 
 
 @pytest.mark.parametrize(
@@ -349,11 +350,11 @@
 
 def test_the_wait_for_a_slot_is_not_counted_as_work(monkeypatch):
     """Otherwise the short requests of a full service would count as long ones."""
-    waits = {}
+    works = {}
     monkeypatch.setattr(
         FlowQueue,
         "record_duration",
-        lambda _, seconds, route, waited: waits.update({seconds: waited}),
+        lambda _, seconds, route, work: works.update({seconds: work}),
     )
     placement = Placement("zone-a", registry_of({"zone-a": 1}), Random(1), print)
     for flow in (b"1", b"2", b"3", b"4"):
@@ -362,7 +363,7 @@
     # The server has two slots, so the third flow starts after the end of the first.
     placement.end_flow(b"1", True, 0.1)
     placement.end_flow(b"3", True, 0.15)
-    assert waits == {0.1: 0.0, 0.15: 0.1}
+    assert works == {0.1: 0.1, 0.15: pytest.approx(0.05)}
 
 
 def test_the_table_of_routes_is_bounded():
