Refuse new uploads on a host whose link is busy with open ones

Cause: uploads that open on a host with a long backlog share its link with those that are open, so all of them become late, while links of other hosts are idle.

Change: LinkAdmission keeps the average bytes of a route's requests and what open requests still have to send. A first opening packet of a bulk route is reset at once, before it is placed, if that backlog takes more than 0.4 of the route's objective; a retransmitted one never is. CookieTransport.may_open asks it; without a rate, and above 100 Mbit/s, nothing is recorded or refused. Large packets on a slow link are no longer prepaid, so that each is recorded. Wake-ups of the queue are at least 5 ms apart.

--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -62,6 +62,9 @@
         A packet of an open flow comes with its header, and may wait for the link.
         """
 
+    def may_open(self, header: FlowPacket, objective_seconds: float) -> bool:
+        """Return whether the link can carry the flow of a first opening packet."""
+
     def send_to_caller(self, packet: bytes, address: str) -> None:
         """Send a packet to a caller."""
 
@@ -273,6 +276,14 @@
             self._reset(header.flow)
             return
         self._counts["opens"] += 1
+        # Another host may have sent an earlier copy of a retransmitted packet on.
+        if not header.retransmission and not self._transport.may_open(
+            header, route.objective_seconds
+        ):
+            self._counts["egress_refused"] += 1
+            self._log.record_step(header.flow, "refused", reason="link backlog")
+            self._reset(header.flow)
+            return
         service = route.service_of(header.flow)
         objective_ms = round(route.objective_seconds * 1000)
         message = PlaceFlow(
--- a/src/kingcuppulley/fabric/egress_queue.py
+++ b/src/kingcuppulley/fabric/egress_queue.py
@@ -104,10 +104,11 @@
         """Return how many flows have queued packets."""
         return sum(1 for backlog in self._backlogs.values() if backlog.packets)
 
-    def add(self, packet: QueuedPacket, priority: int) -> None:
+    def add(self, packet: QueuedPacket, priority: int) -> bool:
         """Queue a packet unless a copy of it waits; `priority` is that of its route.
 
         Beyond a bound, the newest packet of the flow with the longest queue is dropped.
+        Return whether it was no copy.
         """
         backlog = self._backlogs.get(packet.flow)
         if backlog is None:
@@ -115,7 +116,7 @@
         key = (packet.sequence, packet.size)
         if key in backlog.packets:
             self._counts["egress_repeats_dropped"] += 1
-            return
+            return False
         self._counts["egress_queued"] += 1
         backlog.packets[key] = packet
         backlog.queued_bytes += packet.size
@@ -124,6 +125,7 @@
             self._drop_newest(backlog)
         while self._queued_bytes > self._maximum_bytes:
             self._drop_newest(self._longest_backlog())
+        return True
 
     def pop(self, now: float) -> QueuedPacket:
         """Remove and return the next packet of a queue that is not empty."""
--- a/src/kingcuppulley/fabric/sent_sequences.py
+++ b/src/kingcuppulley/fabric/sent_sequences.py
@@ -21,6 +21,11 @@
     def __init__(self) -> None:
         self._highest: OrderedDict[bytes, int] = OrderedDict()
 
+    @property
+    def flows(self) -> OrderedDict[bytes, int]:
+        """Return the highest sequence number sent of each known flow."""
+        return self._highest
+
     def record_queued(self, flow: bytes, sequence: int) -> bool:
         """Record a packet that was queued, and return whether it is a repeat."""
         if flow in self._highest:
--- a/src/kingcuppulley/seeded/egress_pacer.py
+++ b/src/kingcuppulley/seeded/egress_pacer.py
@@ -12,6 +12,7 @@
     QueuedPacket,
 )
 from kingcuppulley.fabric.formats import FlowPacket
+from kingcuppulley.fabric.link_admission import LinkAdmission
 from kingcuppulley.fabric.link_budget import (
     DATAGRAM_HEADERS_BYTES,
     FULL_PACKET_BYTES,
@@ -22,11 +23,16 @@
 
 # Smaller datagrams are sent at once: packets that open, acknowledge or end flows.
 SMALL_DATAGRAM_BYTES = 400
+# Uploads are not counted on a faster link, which 100 of them at once leave fast enough.
+MAXIMUM_ADMISSION_BYTES_PER_SECOND = 12_500_000.0
 MAXIMUM_QUEUE_SECONDS = 1.0
 # One flow's packets fit into the queue of a slow link.
 MINIMUM_QUEUE_BYTES = MAXIMUM_FLOW_PACKETS * FULL_PACKET_BYTES
 # Bounds the memory of the queue of a fast link.
 MAXIMUM_QUEUE_BYTES = 2 * 1024 * 1024
+# Bounds the wake-ups of a host with a backlog: a link of more than 2 Mbit/s carries
+# several packets in this time, which is well below that of a full bucket.
+MINIMUM_WAKE_INTERVAL_SECONDS = 0.005
 # Above this backlog, a packet may wait for longer than its caller does before it
 # repeats the packet.
 LOGGED_BACKLOG_SECONDS = 0.2
@@ -60,7 +66,11 @@
         "_prepaid_bytes",
         "_prepaid_bytes",
         "_queue",
+        "_admission",
+        "_open_requests",
+        "_prepaid_datagram_limit",
         "_sent_sequences",
+        "_sequenced_flows",
         "_logged_backlog_bytes",
         "_backlog_began_at",
         "_is_backlog_logged",
@@ -89,7 +99,15 @@
         rate = self._budget.bytes_per_second
         maximum_bytes = min(int(rate * MAXIMUM_QUEUE_SECONDS), MAXIMUM_QUEUE_BYTES)
         self._queue = EgressQueue(max(maximum_bytes, MINIMUM_QUEUE_BYTES), metrics)
+        self._admission = LinkAdmission(rate)
+        self._open_requests = self._admission.open_requests
+        # On a slow link, large packets are not prepaid, because they are recorded.
+        has_admission = bytes_per_second <= MAXIMUM_ADMISSION_BYTES_PER_SECOND
+        self._prepaid_datagram_limit = (
+            SMALL_DATAGRAM_BYTES if has_admission else 1 << 16
+        )
         self._sent_sequences = SentSequences()
+        self._sequenced_flows = self._sent_sequences.flows
         self._logged_backlog_bytes = rate * LOGGED_BACKLOG_SECONDS
         self._backlog_began_at = 0.0
         self._is_backlog_logged = False
@@ -104,6 +122,16 @@
         gauges["egress_queued_bytes"] = self._queue.queued_bytes
         gauges["egress_queued_flows"] = self._queue.flow_count
 
+    def may_open(self, header: FlowPacket, objective_seconds: float) -> bool:
+        """Return whether the link can carry the flow of a first opening packet."""
+        return self._admission.may_open(
+            header.flow,
+            header.route_key,
+            objective_seconds,
+            self._queue.queued_bytes,
+            self._time(),
+        )
+
     def charge(self, payload_bytes: int) -> None:
         """Charge a datagram that was sent over another socket of this host."""
         self._charge(payload_bytes + DATAGRAM_HEADERS_BYTES, self._time())
@@ -115,9 +143,11 @@
         header: FlowPacket | None = None,
     ) -> None:
         """Send a datagram, or queue a large one with a header while others wait."""
+        if self._open_requests and header is not None and not header.has_data:
+            self._admission.end_request(header.flow)
         size = len(datagram)
         prepaid_bytes = self._prepaid_bytes - size - DATAGRAM_HEADERS_BYTES
-        if prepaid_bytes >= 0:
+        if prepaid_bytes >= 0 and size < self._prepaid_datagram_limit:
             self._prepaid_bytes = prepaid_bytes
         else:
             now = self._time()
@@ -125,12 +155,22 @@
                 if self._queue.queued_bytes or not self._budget.may_send(now):
                     self._enqueue(datagram, endpoint, header, now)
                     return
-                if self._sent_sequences.record(header.flow, header.sequence):
-                    self._counts["egress_repeats"] += 1
-            self._charge(size + DATAGRAM_HEADERS_BYTES, now)
+                self._record_sent_at_once(header, size + DATAGRAM_HEADERS_BYTES, now)
+            if size < self._prepaid_datagram_limit:
+                self._charge(size + DATAGRAM_HEADERS_BYTES, now)
+            else:
+                self._budget.charge(size + DATAGRAM_HEADERS_BYTES, now)
         if not self._send(datagram, endpoint):
             self._counts["packets_not_sent"] += 1
 
+    def _record_sent_at_once(self, header: FlowPacket, size: int, now: float) -> None:
+        if self._sequenced_flows and self._sent_sequences.record(
+            header.flow, header.sequence
+        ):
+            self._counts["egress_repeats"] += 1
+            return
+        self._admission.record(header.flow, header.route_key, size, now)
+
     def _charge(self, size: int, now: float) -> None:
         """Charge a datagram that is sent now, and prepay if the link has room."""
         self._budget.charge(size - self._prepaid_bytes, now)
@@ -149,7 +189,8 @@
         if not self._queue.queued_bytes:
             self._begin_backlog(now)
         packet = QueuedPacket(header.flow, header.sequence, datagram, endpoint, now)
-        self._queue.add(packet, self._priority_of(header.route_key))
+        if self._queue.add(packet, self._priority_of(header.route_key)):
+            self._admission.record(header.flow, header.route_key, packet.size, now)
         queued_bytes = self._queue.queued_bytes
         if queued_bytes > self._logged_backlog_bytes and not self._is_backlog_logged:
             self._is_backlog_logged = True
@@ -163,7 +204,8 @@
         self._arm_timer(now)
 
     def _arm_timer(self, now: float) -> None:
-        self._loop.call_at(self._budget.ready_at(now), self._send_queued)
+        wake_at = max(self._budget.ready_at(now), now + MINIMUM_WAKE_INTERVAL_SECONDS)
+        self._loop.call_at(wake_at, self._send_queued)
 
     def _send_queued(self) -> None:
         """Send the queued packets for which the link has room.
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -67,6 +67,10 @@
         if not self._socket.send(datagram, endpoint):
             self._counts["packets_not_sent"] += 1
 
+    def may_open(self, header: FlowPacket, objective_seconds: float) -> bool:
+        """Return True: without a known rate, every flow is accepted."""
+        return True
+
     def _receive(self, datagram: bytes, _: tuple[str, int]) -> None:
         self._on_packet(datagram)
 
@@ -77,7 +81,7 @@
     With a pacer, datagrams to targets and callers keep to the rate of the host's link.
     """
 
-    __slots__ = ("send_to_target", "send_to_host", "_caller_port")
+    __slots__ = ("send_to_target", "send_to_host", "may_open", "_caller_port")
 
     def __init__(
         self,
@@ -89,6 +93,7 @@
         self.send_to_target = (
             packet_socket.send_to_target if pacer is None else pacer.send_to_target
         )
+        self.may_open = packet_socket.may_open if pacer is None else pacer.may_open
         self.send_to_host = link.send
         self._caller_port = caller_port
 
