Soak uneven links, bulk flows and a failed coordinator

Cause: the soak sent only packets of 33 bytes over links without a rate, so it never used the egress queue, and no fault was aimed at a placement coordinator or at a host with a full queue.

Change: entry hosts get uneven [limits] drawn from the seed. Each run begins with the failure of a strong coordinator, and hosts fail with a full queue. At the end, error counters must be 0 and packets must have been queued. Addresses differ between runs.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,7 +7,7 @@
 import struct
 from enum import Enum
 
-from tests.soak.deployment import CONTROL_PORT
+from tests.soak.deployment import CONTROL_PORT, RUN_OCTET
 
 DELAY_SECONDS = 0.6
 UNRESPONSIVE_SECONDS = 5.0
@@ -35,7 +35,7 @@
     """Forward connections to one control host, with a fault injected on demand."""
 
     def __init__(self, number: int, host: str) -> None:
-        self.address = f"127.34.0.{number + 1}"
+        self.address = f"127.34.{RUN_OCTET}.{number + 1}"
         self.fault = ConnectionFault.NONE
         self._host = host
         self._port = CONTROL_PORT
--- a/tests/soak/simulated_environment.py
+++ b/tests/soak/simulated_environment.py
@@ -9,12 +9,22 @@
 
 import asyncio
 import json
+import math
+import re
 import socket
 import struct
 import time
+from http.client import HTTPConnection, HTTPException
 from random import Random
 
-from tests.soak.deployment import CONTROL_PORT, PACKET_PORT, Deployment
+from tests.soak.deployment import (
+    CONTROL_PORT,
+    METRICS_PORT,
+    PACKET_PORT,
+    RUN_OCTET,
+    Deployment,
+    Node,
+)
 from tests.soak.proxy import ControlProxy
 
 # The header of all packets: to entry hosts, to backend servers and to callers. Its
@@ -22,19 +32,35 @@
 # destination address, the cookie and the flags.
 HEADER = struct.Struct("!IIIH4sH4sIB3sH")
 SYN, FIN, ACK, RST = 8, 32, 64, 128
-CALLER_ADDRESS = "127.33.0.1"
+CALLER_ADDRESS = f"127.33.{RUN_OCTET}.1"
 SERVICES = {"desk": ("198.18.0.1", 443), "store": ("198.18.0.2", 443)}
 CALL_TIMEOUT_SECONDS = 1.5
 
 
 class Flow:
-    """One flow of the caller, and the server and cookie that it was placed with."""
+    """One flow of the caller, and the server and cookie that it was placed with.
 
-    def __init__(self, port: int, service: str) -> None:
+    `carriers` are the entry hosts that a bulk flow was sent through, or the one that
+    another flow was opened through. `packets` holds the data packets that the caller
+    sent, by sequence number, and `unacknowledged` has the numbers of those that did
+    not reach the server.
+    """
+
+    def __init__(self, port: int, service: str, entry: Node) -> None:
         self.port = port
         self.service = service
         self.server: Server | None = None
         self.cookie = 0
+        self.carriers = [entry]
+        self.packets: dict[int, bytes] = {}
+        self.unacknowledged: set[int] = set()
+        self.asked_at = time.monotonic()
+        self.opened_at = self.completed_at = math.inf
+
+    def __str__(self) -> str:
+        names = ", ".join(node.name for node in self.carriers)
+        left = f"{len(self.unacknowledged)} of {len(self.packets)} packets left"
+        return f"port {self.port} through {names}, {left}"
 
 
 class Server(asyncio.DatagramProtocol):
@@ -47,7 +73,7 @@
         self.service = service
         self.packet_identity = number + 1
         self.name = f"i-{self.packet_identity:08x}"
-        self.address = f"127.32.0.{number + 1}"
+        self.address = f"127.32.{RUN_OCTET}.{number + 1}"
         self.zone = f"zone-{'abc'[number % 3]}"
         self.sequence = 0
         self.incarnation = int(time.time() * 1000)
@@ -61,6 +87,8 @@
         if (socket.inet_ntoa(address), header[3]) != SERVICES[self.service]:
             self.environment.record_violation("a packet of another service")
         self.environment.check_packet(self, port, flags, cookie)
+        if header[10]:
+            self.environment.check_data(self, port, header[0], data[8:])
 
     async def send_heartbeats(self) -> None:
         """Send heartbeats until cancelled."""
@@ -103,8 +131,9 @@
     """Everything outside the system under test, and the findings about it.
 
     `asked` counts the flows that callers began, and `opened` those that a server
-    received. `reads` counts the configurations read, and `acknowledged` is the newest
-    version that was accepted.
+    received. `completed` counts the bulk flows that completed, and `undisturbed` those
+    of them whose time was checked. `reads` counts the configurations read, and
+    `acknowledged` is the newest version that was accepted.
     """
 
     def __init__(self, deployment: Deployment, random: Random) -> None:
@@ -115,6 +144,8 @@
         self.acknowledged = 0
         self.submitted_version = 0
         self.opened = 0
+        self.completed = 0
+        self.undisturbed = 0
         self.asked = 0
         self.resets = 0
         self.reads = 0
@@ -145,10 +176,10 @@
                 lambda server=server: server, local_addr=(server.address, PACKET_PORT)
             )
             self._transports.append(transport)
-            self._start_task(server.send_heartbeats())
-        self._start_task(self._put_configurations())
-        self._start_task(self._read_configurations())
-        self._start_task(self._open_flows())
+            self.start_task(server.send_heartbeats())
+        self.start_task(self._put_configurations())
+        self.start_task(self._read_configurations())
+        self.start_task(self._open_flows())
 
     async def stop(self) -> None:
         """Cancel all tasks and close all sockets."""
@@ -198,6 +229,8 @@
             if flow.server is None:
                 flow.server = server
                 flow.cookie = cookie
+                flow.opened_at = time.monotonic()
+                flow.carriers[-1].record_opened_flow(flow.asked_at)
                 self.opened += 1
         elif flow.server is not server:
             expected_name = flow.server.name if flow.server is not None else "none"
@@ -207,7 +240,35 @@
                 f"{server.name} in place of {expected_name}"
             )
 
-    def _start_task(self, coroutine) -> None:
+    def check_data(
+        self, server: Server, port: int, sequence: int, packet: bytes
+    ) -> None:
+        """Check that a data packet is what the caller sent, and acknowledge it."""
+        flow = self.flows.get(port)
+        if flow is None:
+            return
+        if flow.packets.get(sequence) != packet:
+            self.record_violation(f"a data packet {sequence} was changed: {flow}")
+        elif flow.server is server and sequence in flow.unacknowledged:
+            flow.unacknowledged.remove(sequence)
+            if not flow.unacknowledged:
+                flow.completed_at = time.monotonic()
+                self.completed += 1
+
+    def check_metrics(self) -> None:
+        """Check that no process counted an error, and that bulk data was queued."""
+        queued_packets = 0
+        for node in self.deployment.nodes:
+            counts = read_counters(node)
+            queued_packets += counts.get("egress_queued", 0)
+            for name, count in counts.items():
+                if count and (name == "callbacks_failed" or "malformed" in name):
+                    self.record_violation(f"{node.name} counted {count} {name}")
+        if not queued_packets:
+            self.record_violation("no packet was queued for a link")
+
+    def start_task(self, coroutine) -> None:
+        """Run a coroutine until the environment stops."""
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
     def _make_configuration(self) -> dict[str, object]:
@@ -273,12 +334,18 @@
             self._open_flow()
             await asyncio.sleep(0.01)
 
-    def _open_flow(self) -> None:
+    def add_flow(self, entry: Node) -> Flow:
+        """Return a new flow of a random service, for which nothing was sent yet."""
         self._last_caller_port = 20_000 + (self._last_caller_port - 19_999) % 40_000
-        flow = Flow(self._last_caller_port, self.random.choice(list(SERVICES)))
+        service = self.random.choice(list(SERVICES))
+        flow = Flow(self._last_caller_port, service, entry)
         self.flows[flow.port] = flow
         self.asked += 1
-        self._send(flow, SYN)
+        return flow
+
+    def _open_flow(self) -> None:
+        flow = self.add_flow(self.random.choice(self.deployment.entries))
+        self.send(flow, SYN, flow.carriers[0])
         loop = asyncio.get_running_loop()
         for delay, flags in ((0.1, ACK), (0.4, ACK), (1.0, ACK), (1.2, FIN | ACK)):
             loop.call_later(delay, self._send_if_open, flow, flags)
@@ -286,13 +353,22 @@
 
     def _send_if_open(self, flow: Flow, flags: int) -> None:
         if flow.server is not None and self.flows.get(flow.port) is flow:
-            self._send(flow, flags)
-
-    def _send(self, flow: Flow, flags: int) -> None:
+            self.send(flow, flags, self.random.choice(self.deployment.entries))
+
+    def send(
+        self,
+        flow: Flow,
+        flags: int,
+        entry: Node,
+        sequence: int = 1,
+        acknowledgement: int = 0,
+        data: bytes = b"",
+    ) -> None:
+        """Send a packet of a flow to an entry host, and keep it if it has data."""
         host, port = SERVICES[flow.service]
         packet = HEADER.pack(
-            1,
-            0,
+            sequence,
+            acknowledgement,
             7,
             port,
             socket.inet_aton(CALLER_ADDRESS),
@@ -301,7 +377,22 @@
             flow.cookie,
             flags,
             b"\0\0\0",
-            0,
+            len(data),
         )
-        entry_host = self.random.choice(self.deployment.entries)
-        self._transports[0].sendto(packet, (entry_host.address, PACKET_PORT))
+        if data:
+            packet = flow.packets[sequence] = packet + data
+        self._transports[0].sendto(packet, (entry.address, PACKET_PORT))
+
+
+def read_counters(node: Node) -> dict[str, int]:
+    """Return the counters of a process by name; none if it does not answer."""
+    connection = HTTPConnection(node.address, METRICS_PORT, timeout=1.0)
+    try:
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+    except (OSError, HTTPException):
+        return {}
+    finally:
+        connection.close()
+    counters = re.findall(r"^kingcuppulley_(\w+)_total (\d+)$", text, re.MULTILINE)
+    return {name: int(count) for name, count in counters}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,18 +13,27 @@
 from pathlib import Path
 from random import Random
 
+from tests.soak.bulk import BulkCallers
 from tests.soak.deployment import Deployment, Node
 from tests.soak.proxy import ConnectionFault, ControlProxy
 from tests.soak.simulated_environment import SimulatedEnvironment
 
 MINIMUM_WIPE_INTERVAL_SECONDS = 8.0
 RECOVERY_TIMEOUT_SECONDS = 20.0
+# Longer than a caller repeats its opening packet.
+PLACEMENT_TIMEOUT_SECONDS = 1.5
+# When a queue is full, after its flows were opened; it takes longer to empty it.
+QUEUE_FILL_SECONDS = 0.5
 
 
 class FaultInjector:
     """Inject faults that are drawn from a seeded generator and overlap in time."""
 
-    def __init__(self, environment: SimulatedEnvironment, random: Random) -> None:
+    def __init__(
+        self, environment: SimulatedEnvironment, bulk: BulkCallers, random: Random
+    ) -> None:
+        self._environment = environment
+        self._bulk = bulk
         self._deployment = environment.deployment
         self._proxies = list(environment.proxies.values())
         self._random = random
@@ -34,6 +43,7 @@
     async def run(self) -> None:
         """Inject faults until cancelled."""
         loop = asyncio.get_running_loop()
+        await self.check_coordinator_failure()
         while True:
             await asyncio.sleep(self._random.uniform(0.1, 0.8))
             node = self._random.choice(self._deployment.nodes)
@@ -45,6 +55,8 @@
                     self._reload,
                     self._kill_role,
                     self._disturb_proxy,
+                    self._fail_full_host,
+                    self._fail_coordinator,
                 ]
                 + [self._wipe] * (loop.time() > self._next_wipe_at)
             )
@@ -71,6 +83,27 @@
         for node_of_role in nodes:
             self._kill(node_of_role)
 
+    def _fail_full_host(self, _: Node) -> None:
+        node = self._random.choice(self._deployment.entries)
+        self._bulk.fill_queue(node)
+        fault = self._random.choice([self._kill, self._pause])
+        asyncio.get_running_loop().call_later(QUEUE_FILL_SECONDS, fault, node)
+
+    def _fail_coordinator(self, _: Node) -> None:
+        fault = self._random.choice([self._kill, self._pause, self._terminate])
+        fault(self._deployment.coordinator)
+
+    async def check_coordinator_failure(self) -> None:
+        """Fail a coordinator without other faults; another one must place callers."""
+        substitute = self._deployment.substitute
+        self.injected.append(f"_fail_coordinator {self._deployment.coordinator.name}")
+        self._fail_coordinator(substitute)
+        flows = self._bulk.open_burst(substitute, 4)
+        await asyncio.sleep(PLACEMENT_TIMEOUT_SECONDS)
+        for flow in flows:
+            if flow.server is None:
+                self._environment.record_violation(f"a caller was not placed: {flow}")
+
     def _disturb_proxy(self, _: Node) -> None:
         proxy = self._random.choice(self._proxies)
         proxy.fault = self._random.choice(list(ConnectionFault))
@@ -116,9 +149,11 @@
     """
     random = Random(seed)
     deployment = Deployment(folder, controls=3, entries=4)
+    deployment.draw_limits(random)
     environment = SimulatedEnvironment(deployment, random)
     deployment.start()
-    injector = FaultInjector(environment, random)
+    bulk = BulkCallers(environment, random)
+    injector = FaultInjector(environment, bulk, random)
     try:
         await environment.start(servers=6)
         # Wait until every host has read the settings of a first start. A host that
@@ -126,12 +161,19 @@
         # have one disk less than it relies on.
         await _wait_until_recovered(deployment, environment)
         deployment.write_restart_settings()
-        injection = asyncio.get_running_loop().create_task(injector.run())
-        await asyncio.sleep(seconds)
-        injection.cancel()
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(part.run()) for part in (injector, bulk)]
+        ended, _ = await asyncio.wait(tasks, timeout=seconds)
+        for task in tasks:
+            # Raises the error of a task that failed.
+            task.result() if task in ended else task.cancel()
         injector.restore_proxies()
         deployment.restore()
         await _wait_until_recovered(deployment, environment)
+        for node in deployment.entries:
+            bulk.open_burst(node, 2)
+        await bulk.finish()
+        environment.check_metrics()
     finally:
         await environment.stop()
         deployment.stop()
@@ -170,6 +212,8 @@
         environment = asyncio.run(soak(seed, arguments.seconds, folder))
         print(
             f"seed {seed}: {environment.opened} of {environment.asked} flows opened, "
+            f"{environment.completed} bulk flows completed, "
+            f"{environment.undisturbed} of them undisturbed, "
             f"{environment.reads} reads, version {environment.acknowledged}, "
             f"{len(environment.findings)} findings; logs in {folder}"
         )
