--- a/src/kingcuppulley/fabric/egress_queue.py
+++ b/src/kingcuppulley/fabric/egress_queue.py
@@ -7,6 +7,7 @@
 from itertools import count
 
 from kingcuppulley.fabric.link_budget import DATAGRAM_HEADERS_BYTES, FULL_PACKET_BYTES
+from kingcuppulley.fabric.request_cost import priority_weight
 from kingcuppulley.internal.counters import Metrics
 
 # A caller has at most this many unacknowledged packets of a flow on their way.
@@ -18,7 +19,7 @@
 # After this many packets of flows that had nothing queued before, a flow with a
 # backlog has its turn, so that a flood of short exchanges does not starve it.
 NEW_FLOW_TURNS = 3
-# The weight of a flow is halved with each priority level down to this one.
+# Flows of lower priorities share the link like those of this one.
 LOWEST_PRIORITY = 3
 
 
@@ -57,7 +58,8 @@
         self.packets: OrderedDict[tuple[int, int], QueuedPacket] = OrderedDict()
         self.queued_bytes = 0
         # At least a full packet, so that a flow sends something in nearly every round.
-        self.quantum = FULL_PACKET_BYTES << (LOWEST_PRIORITY - priority)
+        weight = priority_weight(priority) / priority_weight(LOWEST_PRIORITY)
+        self.quantum = int(FULL_PACKET_BYTES * weight)
         self.deficit = FULL_PACKET_BYTES
 
 
