--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -5,7 +5,7 @@
 import zlib
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from kingcuppulley.backend_servers.target_registry import (
     RegisteredTarget,
@@ -38,9 +38,13 @@
 from kingcuppulley.fabric.egress_queue import LOWEST_PRIORITY
 from kingcuppulley.fabric.formats import PacketFormat
 from kingcuppulley.fabric.placement import Placement
+from kingcuppulley.fabric.server_speed import ServerSpeed
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.operators.routing import RoutingConfiguration, RoutingTable
 
+if TYPE_CHECKING:
+    from kingcuppulley.fabric.placement_explanation import PlacementExplanation
+
 SUBSCRIPTION_INTERVAL_SECONDS = 0.25
 FETCH_RETRY_INTERVAL_SECONDS = 0.15
 COLD_START_MARGIN_SECONDS = 0.5
@@ -84,6 +88,7 @@
         self._address = address
         self._zone = zone
         self._capacity = capacity
+        self._packet_format = packet_format
         self._decode = decode
         self._send = send
         self._metrics = metrics
@@ -110,6 +115,7 @@
             lambda *released: self._router.flow_released(*released),
         )
         self._placement.choice.set_cold_start_filter(self._may_place_on_cold)
+        self._placement.choice.set_slow_server_observer(self._log_slow_server)
         self._load_reporter = LoadReporter(
             address, zone, self._coordinators, self._placement.choice, send
         )
@@ -155,6 +161,9 @@
             target.is_eligible for target in self._registry.targets
         )
         gauges["backend_server_cookie_collisions"] = self._registry.cookie_collisions
+        speeds = self._placement.choice.speeds
+        gauges["backend_servers_slow"] = speeds.slow_count
+        gauges["backend_server_slowness_max"] = round(speeds.maximum_slowness, 2)
         gauges["flows_open"] = self._placement.open_count
         gauges["flows_waiting"] = self._placement.queued_count
         gauges["is_ready"] = float(self.is_ready)
@@ -164,6 +173,24 @@
         route = self._routing_table.route(key)
         return LOWEST_PRIORITY if route is None else route.priority
 
+    def explain_placement(
+        self, flow: bytes, route_key: bytes, now: float
+    ) -> PlacementExplanation:
+        """Explain where a new flow would be placed now, without placing it."""
+        # Imported when it is needed, because entry hosts start often and on small
+        # machines.
+        from kingcuppulley.fabric.placement_explanation import PlacementExplainer
+
+        explainer = PlacementExplainer(
+            self._address,
+            self._zone,
+            self._packet_format,
+            self._routing_table,
+            self._coordinators,
+            self._placement,
+        )
+        return explainer.explain(flow, route_key, self._router.is_ready, now)
+
     def can_leave_rotation(self, now: float) -> bool:
         """Return whether the zone's other hosts can serve its traffic."""
         return self._coordinators.can_leave_rotation(now)
@@ -387,6 +414,15 @@
                 born=target.incarnation,
             )
 
+    def _log_slow_server(self, target: RegisteredTarget, speed: ServerSpeed) -> None:
+        self._log.event(
+            "backend server slow" if speed.is_slow else "backend server not slow",
+            server=target.name,
+            service=target.service,
+            zone=target.zone,
+            slowness=round(speed.slowness, 2),
+        )
+
     def _apply_state(self, state: RoutingState, now: float) -> None:
         if state.revision <= self._revision:
             return
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -43,6 +43,8 @@
 QUIET_AFTER_ANSWER_SECONDS = 0.03
 # How long a server's first packet takes to reach the caller that waits for it.
 ANSWER_TRAVEL_SECONDS = 0.03
+# Flows of lower priorities are counted with those of this one.
+MAXIMUM_COUNTED_PRIORITY = 3
 # Origin of a flow that its coordinator did not acknowledge: if no server is found for
 # the flow, no host or caller is notified.
 NO_ORIGIN = ""
@@ -62,6 +64,9 @@
         A packet of an open flow comes with its header, and may wait for the link.
         """
 
+    def may_open(self, header: FlowPacket, objective_seconds: float) -> bool:
+        """Return whether the link can carry the flow of a first opening packet."""
+
     def send_to_caller(self, packet: bytes, address: str) -> None:
         """Send a packet to a caller."""
 
@@ -273,6 +278,14 @@
             self._reset(header.flow)
             return
         self._counts["opens"] += 1
+        # Another host may have sent an earlier copy of a retransmitted packet on.
+        if not header.retransmission and not self._transport.may_open(
+            header, route.objective_seconds
+        ):
+            self._counts["egress_refused"] += 1
+            self._log.record_step(header.flow, "refused", reason="link backlog")
+            self._reset(header.flow)
+            return
         service = route.service_of(header.flow)
         objective_ms = round(route.objective_seconds * 1000)
         message = PlaceFlow(
@@ -329,6 +342,7 @@
 
     def _apply(self, request: FlowRequest, decision: PlacementDecision) -> None:
         self._counts[f"flows_{decision.outcome.value}"] += 1
+        self._count_by_priority(request, decision.outcome)
         if decision.outcome is PlacementOutcome.REFUSED:
             reason = decision.reason.replace(" ", "_")
             self._counts[f"flows_refused_{reason}"] += 1
@@ -354,6 +368,13 @@
             )
             self._transport.send_to_target(datagram, target.endpoint)
 
+    def _count_by_priority(
+        self, request: FlowRequest, outcome: PlacementOutcome
+    ) -> None:
+        if outcome is not PlacementOutcome.PLACED:
+            level = min(request.priority, MAXIMUM_COUNTED_PRIORITY)
+            self._counts[f"flows_{outcome.name.lower()}_priority_{level}"] += 1
+
     def _forward(self, packet: bytes, header: FlowPacket, now: float) -> None:
         if header.ends_flow:
             # A caller learns a cookie only from a server's answer.
--- a/src/kingcuppulley/fabric/egress_queue.py
+++ b/src/kingcuppulley/fabric/egress_queue.py
@@ -7,6 +7,7 @@
 from itertools import count
 
 from kingcuppulley.fabric.link_budget import DATAGRAM_HEADERS_BYTES, FULL_PACKET_BYTES
+from kingcuppulley.fabric.request_cost import priority_weight
 from kingcuppulley.internal.counters import Metrics
 
 # A caller has at most this many unacknowledged packets of a flow on their way.
@@ -18,7 +19,7 @@
 # After this many packets of flows that had nothing queued before, a flow with a
 # backlog has its turn, so that a flood of short exchanges does not starve it.
 NEW_FLOW_TURNS = 3
-# The weight of a flow is halved with each priority level down to this one.
+# Flows of lower priorities share the link like those of this one.
 LOWEST_PRIORITY = 3
 
 
@@ -57,7 +58,8 @@
         self.packets: OrderedDict[tuple[int, int], QueuedPacket] = OrderedDict()
         self.queued_bytes = 0
         # At least a full packet, so that a flow sends something in nearly every round.
-        self.quantum = FULL_PACKET_BYTES << (LOWEST_PRIORITY - priority)
+        weight = priority_weight(priority) / priority_weight(LOWEST_PRIORITY)
+        self.quantum = int(FULL_PACKET_BYTES * weight)
         self.deficit = FULL_PACKET_BYTES
 
 
@@ -104,10 +106,11 @@
         """Return how many flows have queued packets."""
         return sum(1 for backlog in self._backlogs.values() if backlog.packets)
 
-    def add(self, packet: QueuedPacket, priority: int) -> None:
+    def add(self, packet: QueuedPacket, priority: int) -> bool:
         """Queue a packet unless a copy of it waits; `priority` is that of its route.
 
         Beyond a bound, the newest packet of the flow with the longest queue is dropped.
+        Return whether it was no copy.
         """
         backlog = self._backlogs.get(packet.flow)
         if backlog is None:
@@ -115,7 +118,7 @@
         key = (packet.sequence, packet.size)
         if key in backlog.packets:
             self._counts["egress_repeats_dropped"] += 1
-            return
+            return False
         self._counts["egress_queued"] += 1
         backlog.packets[key] = packet
         backlog.queued_bytes += packet.size
@@ -124,6 +127,7 @@
             self._drop_newest(backlog)
         while self._queued_bytes > self._maximum_bytes:
             self._drop_newest(self._longest_backlog())
+        return True
 
     def pop(self, now: float) -> QueuedPacket:
         """Remove and return the next packet of a queue that is not empty."""
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -15,6 +15,7 @@
 )
 from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
 from kingcuppulley.fabric.server_choice import ServerChoice
+from kingcuppulley.fabric.server_timing import TimedRequest
 
 # A caller that still waits answers a server within this time; one that has
 # disconnected never does.
@@ -73,10 +74,14 @@
         "count_deadline",
         "is_duration_recorded",
         "unanswered_cookies",
+        "route",
+        "timed_request",
     )
 
-    def __init__(self, target: RegisteredTarget, now: float) -> None:
+    def __init__(self, target: RegisteredTarget, route: bytes, now: float) -> None:
         self.target = target
+        self.route = route
+        self.timed_request: TimedRequest | None = None
         self.placed_at = now
         self.is_counted = True
         self.count_deadline = 0.0
@@ -127,6 +132,15 @@
         """Return how many flows are counted as open."""
         return self._choice.open_count
 
+    @property
+    def discovery_deadline(self) -> float:
+        """Return until when more backend servers may still be discovered."""
+        return self._discovery_deadline
+
+    def queue_of(self, service: str) -> FlowQueue | None:
+        """Return the queue of a service, or None if no flow of it was queued yet."""
+        return self._queues.get(service)
+
     def set_discovery_deadline(self, deadline: float) -> None:
         """Set until when more backend servers may still be discovered.
 
@@ -152,7 +166,11 @@
             return
         if not placed.is_counted:
             placed.is_counted = True
+            if placed.timed_request is None and placed.is_duration_recorded:
+                self._start_request(placed, now)
             self._choice.change_flows(placed.target, 1)
+        if placed.timed_request is not None:
+            self._choice.speeds.establish(placed.timed_request)
         load = self._choice.load(placed.target.cookie)
         self._count_until(placed, load.count_deadline(now))
 
@@ -164,8 +182,12 @@
         placed = self._flows.get(flow)
         if placed is None:
             return
+        if placed.timed_request is not None and placed.timed_request.has_waited:
+            # `seconds` has another start than the time that it waited.
+            self._finish_request(placed, None, now)
         self._record_duration(placed, seconds, now)
-        self._uncount(placed)
+        # The report follows the answer after a pause.
+        self._uncount(placed, now, is_late=True)
         self._release_queued(placed.target.service, now)
 
     def end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
@@ -175,13 +197,31 @@
             return
         if was_answered and not placed.is_duration_recorded:
             self._record_duration(placed, now - placed.placed_at, now)
-        self._uncount(placed)
+        self._finish_request(placed, None, now)
+        self._uncount(placed, now)
         self._release_queued(placed.target.service, now)
 
+    def _start_request(self, placed: _PlacedFlow, now: float) -> None:
+        placed.timed_request = self._choice.start_request(
+            placed.target, placed.route, now
+        )
+
+    def _finish_request(
+        self, placed: _PlacedFlow, seconds: float | None, now: float
+    ) -> None:
+        request = placed.timed_request
+        if request is not None:
+            placed.timed_request = None
+            self._choice.finish_request(request, seconds, now)
+
     def _record_duration(self, placed: _PlacedFlow, seconds: float, now: float) -> None:
         placed.is_duration_recorded = True
         self._choice.record_answer(placed.target, seconds, now)
-        self._queue_of(placed.target.service).record_duration(seconds)
+        request = placed.timed_request
+        work_seconds = None if request is None else request.work_seconds(seconds)
+        self._finish_request(placed, seconds, now)
+        queue = self._queue_of(placed.target.service)
+        queue.record_duration(seconds, placed.route, work_seconds)
 
     def tick(self, now: float) -> None:
         """Expire old flows, then release or drop queued flows."""
@@ -189,7 +229,7 @@
         while self._count_deadlines and self._count_deadlines[0][0] <= now:
             deadline, _, placed = heapq.heappop(self._count_deadlines)
             if placed.is_counted and deadline == placed.count_deadline:
-                self._uncount(placed)
+                self._expire(placed, now)
                 services.add(placed.target.service)
         while self._retention_deadlines and self._retention_deadlines[0][0] <= now:
             _, flow, placed = self._retention_deadlines.popleft()
@@ -208,12 +248,13 @@
         unanswered_target = placed.target
         self._choice.load(unanswered_target.cookie).suspect(now)
         placed.unanswered_cookies.append(unanswered_target.cookie)
+        self._finish_request(placed, None, now)
         target = self._choice.choose(request, placed.unanswered_cookies, now)[0]
         if target is None:
             return PlacementDecision(
                 PlacementOutcome.PLACED, unanswered_target, "no other server"
             )
-        self._uncount(placed)
+        self._expire(placed, now)
         self._count(placed, target, now)
         return PlacementDecision(
             PlacementOutcome.PLACED, target, "no answer from the first server"
@@ -236,7 +277,10 @@
             and not queue.has_within_objective(now)
         ):
             return self._place(request, target, now)
-        if queue.add(request, now, MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT * slots):
+        is_queued = queue.add(request, now, MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT * slots)
+        for displaced in queue.take_displaced():
+            self._report_dropped(displaced, "route beyond its share", now)
+        if is_queued:
             return PlacementDecision(
                 PlacementOutcome.QUEUED, None, "every server is full", len(queue)
             )
@@ -247,12 +291,14 @@
     def _place(
         self, request: FlowRequest, target: RegisteredTarget, now: float
     ) -> PlacementDecision:
-        placed = _PlacedFlow(target, now)
+        placed = _PlacedFlow(target, request.route, now)
         self._flows[request.flow] = placed
         self._retention_deadlines.append(
             (now + PLACEMENT_RETENTION_SECONDS, request.flow, placed)
         )
         load = self._choice.load(target.cookie).total_flows
+        if not request.retransmission:
+            self._start_request(placed, now)
         self._count(placed, target, now)
         return PlacementDecision(PlacementOutcome.PLACED, target, LEAST_LOAD, load)
 
@@ -270,12 +316,14 @@
         queue = self._queue_of(service)
         for request in queue.requests_to_drop(now):
             queue.remove(request)
-            is_refusable = now < request.refusal_deadline
-            outcome = (
-                PlacementOutcome.REFUSED if is_refusable else PlacementOutcome.EXPIRED
-            )
-            decision = PlacementDecision(outcome, None, "waited too long", len(queue))
-            self._on_flow_released(request, decision, now - request.queued_since)
+            self._report_dropped(request, "waited too long", now)
+
+    def _report_dropped(self, request: FlowRequest, reason: str, now: float) -> None:
+        is_refusable = now < request.refusal_deadline
+        outcome = PlacementOutcome.REFUSED if is_refusable else PlacementOutcome.EXPIRED
+        queued_count = len(self._queue_of(request.service))
+        decision = PlacementDecision(outcome, None, reason, queued_count)
+        self._on_flow_released(request, decision, now - request.queued_since)
 
     def _queue_of(self, service: str) -> FlowQueue:
         queue = self._queues.get(service)
@@ -296,7 +344,14 @@
         placed.count_deadline = deadline
         heapq.heappush(self._count_deadlines, (deadline, next(self._sequence), placed))
 
-    def _uncount(self, placed: _PlacedFlow) -> None:
+    def _uncount(
+        self, placed: _PlacedFlow, now: float, *, is_late: bool = False
+    ) -> None:
+        if placed.is_counted:
+            placed.is_counted = False
+            self._choice.flow_ended(placed.target, now, is_late=is_late)
+
+    def _expire(self, placed: _PlacedFlow, now: float) -> None:
         if placed.is_counted:
             placed.is_counted = False
-            self._choice.change_flows(placed.target, -1)
+            self._choice.flow_expired(placed.target, placed.timed_request, now)
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -35,6 +35,8 @@
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 MAXIMUM_PACKET_BYTES = 2048
 MILLICORES_PER_CORE = 1000
+# Where an operator's question for a placement is answered, beside the metrics.
+PLACEMENT_PATH = b"/placement"
 
 
 class PacketSocket:
@@ -68,6 +70,10 @@
         if not self._socket.send(datagram, endpoint):
             self._counts["packets_not_sent"] += 1
 
+    def may_open(self, header: FlowPacket, objective_seconds: float) -> bool:
+        """Return True: without a known rate, every flow is accepted."""
+        return True
+
     def _receive(self, datagram: bytes, _: tuple[str, int]) -> None:
         self._on_packet(datagram)
 
@@ -78,7 +84,7 @@
     With a pacer, datagrams to targets and callers keep to the rate of the host's link.
     """
 
-    __slots__ = ("send_to_target", "send_to_host", "_caller_port")
+    __slots__ = ("send_to_target", "send_to_host", "may_open", "_caller_port")
 
     def __init__(
         self,
@@ -90,6 +96,7 @@
         self.send_to_target = (
             packet_socket.send_to_target if pacer is None else pacer.send_to_target
         )
+        self.may_open = packet_socket.may_open if pacer is None else pacer.may_open
         self.send_to_host = link.send
         self._caller_port = caller_port
 
@@ -114,6 +121,7 @@
     ) -> None:
         self._settings = settings
         self._loop = loop
+        self._packet_format = packet_format
         self._ready_path = ready_path
         self._clock = ProcessClock()
         self.metrics = Metrics()
@@ -161,7 +169,11 @@
                 self._loop, ready.host, ready.port, self._answer_readiness_probe
             )
         await serve_metrics(
-            self._loop, settings.metrics, self.metrics, self._update_gauges
+            self._loop,
+            settings.metrics,
+            self.metrics,
+            self._update_gauges,
+            {PLACEMENT_PATH: self._answer_placement_query},
         )
         self._ticker.start()
         # Subscribe at once: the host is not ready before control hosts have answered.
@@ -235,6 +247,19 @@
             status = 200 if self._host.is_ready else 503
         request.answer(status, b"", "text/plain")
 
+    def _answer_placement_query(self, request: HttpRequest) -> None:
+        # Imported when it is needed, because entry hosts start often and on small
+        # machines.
+        from kingcuppulley.seeded.placement_answer import PlacementAnswer
+
+        answer = PlacementAnswer(
+            self._packet_format,
+            lambda flow, route_key: self._host.explain_placement(
+                flow, route_key, self._clock.now()
+            ),
+        )
+        answer.answer(request)
+
     def _update_gauges(self, gauges: dict[str, float]) -> None:
         self._host.update_gauges(gauges, self._clock.now())
         if self._pacer is not None:
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -54,9 +54,9 @@
         return FlowPacket(
             flow,
             SERVICE_KEY,
-            kind == b"open",
+            kind in (b"open", b"reopen"),
             kind == b"end",
-            0,
+            int(kind == b"reopen"),
             int(cookie.decode()),
             kind == b"data",
             0,
@@ -87,6 +87,7 @@
     def __init__(self) -> None:
         self.to_targets: list[tuple[bytes, tuple[str, int]]] = []
         self.headers: list[FlowPacket | None] = []
+        self.has_room = True
         self.to_callers: list[bytes] = []
         self.to_hosts: list[tuple[str, object]] = []
         self.decisions: list[tuple] = []
@@ -95,6 +96,9 @@
         self.to_targets.append((datagram, endpoint))
         self.headers.append(header)
 
+    def may_open(self, header, objective_seconds):
+        return self.has_room
+
     def send_to_caller(self, packet, address):
         self.to_callers.append(packet)
 
@@ -185,6 +189,18 @@
     assert data is not None and data.flow == b"flow"
 
 
+def test_a_flow_that_the_link_cannot_carry_is_refused_unless_it_may_have_been_sent():
+    host = Host(OWN, OTHER)
+    host.sent.has_room = False
+    host.packet("flow open 0")
+    assert not host.sent.to_hosts and not host.sent.to_targets
+    assert host.sent.to_callers == [b"reset flow"]
+    # Another host may have sent the first packet of this flow to a server.
+    host.packet("other reopen 0")
+    assert host.sent.to_callers == [b"reset flow"]
+    assert host.sent.to_hosts or host.sent.to_targets
+
+
 def test_a_packet_with_an_unknown_cookie_is_neither_forwarded_nor_reset():
     host = Host(OWN)
     host.packet("flow data 12345")
@@ -337,6 +353,18 @@
     assert not host.sent.to_callers
 
 
+def test_refusals_are_counted_by_priority_with_the_lowest_in_one_counter():
+    """Operators see whose flows are turned away; counters must not grow in number."""
+    host = without_servers(Host(OWN))
+    for priority in (1, 3, 9):
+        flow = b"flow-%d" % priority
+        packet = flow + b" open 0"
+        message = PlaceFlow(flow, "order-desk", 0, priority, 150, packet)
+        host.router.place_for_host(OTHER, message, 0.0)
+    assert host.metrics.counts["flows_refused_priority_1"] == 1
+    assert host.metrics.counts["flows_refused_priority_3"] == 2
+
+
 def test_a_malformed_packet_of_another_host_is_not_placed():
     # It has no route; acknowledged, it would be lost without a trace.
     host = Host(OWN)
