Give coordinators fewer servers by their capacity, and reclaimed flows to the next coordinator

The placement coordinator of a zone, on 0.163 of a core, fell more than 40 ms behind at 3 times the usual flows; its 20 hosts then placed flows themselves, each without knowing of the others', and filled the servers beyond their queues.

Change: where the capacity of all hosts of a zone is known, the size of a share follows from it (20 thousandths of a core for each server); a flow that a coordinator does not acknowledge goes to the next one in the ranking, is never reset then, and is placed by the receiving host only if that one does not answer either; capacities count only when all of a zone's are known.

--- a/src/kingcuppulley/entry_hosts/coordinator_table.py
+++ b/src/kingcuppulley/entry_hosts/coordinator_table.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from kingcuppulley.entry_hosts.seeded_messages import EntryHostInfo
+from kingcuppulley.fabric.service_shares import SERVERS_PER_SHARE
 from kingcuppulley.internal.rendezvous import rank_names
 
 HOST_SUSPICION_SECONDS = 1.0
@@ -15,20 +16,23 @@
 ZONE_HOST_RETENTION_SECONDS = 15.0
 
 
+# Part of a core, in thousandths, that a coordinator needs for each of its servers when
+# they are fully used.
+MILLICORES_PER_SERVER = 20
+
+
 def find_weak_hosts(hosts: list[EntryHostInfo]) -> frozenset[str]:
     """Return the hosts of a zone with less than half of the largest capacity.
 
-    A host whose capacity is not known counts as the median of the others.
+    While the capacity of any host is not known, there are none: hosts of an earlier
+    build choose coordinators without regard to capacity, and two coordinators of one
+    share must not last for the whole upgrade.
     """
-    known = sorted(host.capacity for host in hosts if host.capacity > 0)
-    if not known:
+    capacities = [host.capacity for host in hosts]
+    if not capacities or min(capacities) <= 0:
         return frozenset()
-    median = (known[(len(known) - 1) // 2] + known[len(known) // 2]) / 2
-    return frozenset(
-        host.address
-        for host in hosts
-        if 2 * (host.capacity if host.capacity > 0 else median) < known[-1]
-    )
+    largest = max(capacities)
+    return frozenset(host.address for host in hosts if 2 * host.capacity < largest)
 
 
 class CoordinatorTable:
@@ -48,8 +52,34 @@
         self._reported_at: dict[str, float] = {}
         self._ranked_addresses: dict[tuple[str, str, int], list[str]] = {}
         self._weak_addresses: dict[str, frozenset[str]] = {}
+        self._servers_per_share: dict[str, int] = {}
+        self._version = 0
         self._last_seen_at: dict[str, float] = {}
 
+    @property
+    def version(self) -> int:
+        """Return a number that grows when the list of hosts changes."""
+        return self._version
+
+    def servers_per_share(self, zone: str) -> int:
+        """Return how many servers of a service one coordinator of a zone can bear.
+
+        It follows from the weakest host that may be chosen while a strong one answers.
+        While the capacity of any host is not known, it is `SERVERS_PER_SHARE`.
+        """
+        servers = self._servers_per_share.get(zone)
+        if servers is None:
+            servers = self._servers_per_share[zone] = self._find_share_size(zone)
+        return servers
+
+    def _find_share_size(self, zone: str) -> int:
+        hosts = self._staying_hosts(zone)
+        weak = find_weak_hosts(hosts)
+        capacity = min((h.capacity for h in hosts if h.address not in weak), default=0)
+        if capacity <= 0:
+            return SERVERS_PER_SHARE
+        return max(1, min(SERVERS_PER_SHARE, capacity // MILLICORES_PER_SERVER))
+
     def update(self, hosts: list[EntryHostInfo], now: float) -> None:
         """Replace the entry hosts by those that control hosts list now."""
         hosts_by_address = {host.address: host for host in hosts}
@@ -60,6 +90,8 @@
             self._hosts = hosts_by_address
             self._ranked_addresses.clear()
             self._weak_addresses.clear()
+            self._servers_per_share.clear()
+            self._version += 1
 
     def suspect(self, address: str, now: float) -> None:
         """Skip an unresponsive host for `HOST_SUSPICION_SECONDS`."""
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -113,6 +113,7 @@
             self._registry,
             generator,
             lambda *released: self._router.flow_released(*released),
+            self._coordinators,
         )
         self._placement.choice.set_cold_start_filter(self._may_place_on_cold)
         self._placement.choice.set_slow_server_observer(self._log_slow_server)
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -85,14 +85,27 @@
 
 
 class _PendingPlacement:
-    """Hold a new flow until its coordinator acknowledges the request to place it."""
+    """Hold a new flow until its coordinator acknowledges the request to place it.
 
-    __slots__ = ("request", "coordinator", "deadline")
+    `is_reclaimed` says that another coordinator did not acknowledge it before.
+    """
+
+    __slots__ = ("request", "message", "coordinator", "deadline", "is_reclaimed")
 
-    def __init__(self, request: FlowRequest, coordinator: str, deadline: float) -> None:
+    def __init__(
+        self,
+        request: FlowRequest,
+        message: PlaceFlow,
+        coordinator: str,
+        now: float,
+        *,
+        is_reclaimed: bool = False,
+    ) -> None:
         self.request = request
+        self.message = message
         self.coordinator = coordinator
-        self.deadline = deadline
+        self.deadline = now + PLACEMENT_ACKNOWLEDGEMENT_TIMEOUT_SECONDS
+        self.is_reclaimed = is_reclaimed
 
 
 class _FlowRecord:
@@ -100,6 +113,8 @@
 
     Attributes
     ----------
+    may_be_reset : bool
+        Whether no other host may have placed the flow.
     is_reported_established : bool
         Whether the host that placed the flow counts it as established.
     is_answer_reported : bool
@@ -113,15 +128,19 @@
     __slots__ = (
         "placed_by",
         "recorded_at",
+        "may_be_reset",
         "is_reported_established",
         "is_answer_reported",
         "request_at",
         "answered_at",
     )
 
-    def __init__(self, placed_by: str, now: float) -> None:
+    def __init__(
+        self, placed_by: str, now: float, *, may_be_reset: bool = True
+    ) -> None:
         self.placed_by = placed_by
         self.recorded_at = now
+        self.may_be_reset = may_be_reset
         self.is_reported_established = False
         self.is_answer_reported = False
         self.request_at: float | None = None
@@ -213,11 +232,11 @@
     def flow_refused(self, host: str, message: FlowRefused) -> None:
         """Reset a flow for which its coordinator found no server.
 
-        Ignore the refusal if this host has placed the flow itself in the meantime,
+        Ignore the refusal if another host may have placed the flow in the meantime,
         because the flow may be established by now.
         """
         record = self._flow_records.get(message.flow)
-        if record is not None and record.placed_by == host:
+        if record is not None and record.placed_by == host and record.may_be_reset:
             self._reset(message.flow)
 
     def flow_established(self, message: FlowEstablished, now: float) -> None:
@@ -253,11 +272,7 @@
                 reason="no answer from the coordinator",
                 steward=pending.coordinator,
             )
-            self._flow_records[pending.request.flow] = _FlowRecord(self._address, now)
-            # The coordinator may have placed the flow after all, so this host must
-            # not reset it.
-            pending.request.origin = NO_ORIGIN
-            self._place_flow(pending.request, now)
+            self._place_reclaimed(pending, now)
         self._report_answered(now)
         while self._flow_records:
             flow, record = next(iter(self._flow_records.items()))
@@ -266,6 +281,36 @@
             del self._flow_records[flow]
         self._placement.tick(now)
 
+    def _place_reclaimed(self, pending: _PendingPlacement, now: float) -> None:
+        """Give a flow to the next coordinator, or place it here if that fails too.
+
+        Hosts that place flows themselves do not know of each other's, and overload the
+        servers when a coordinator is slow.  The first coordinator may have placed the
+        flow after all, so it must not be reset.
+        """
+        request = pending.request
+        coordinator = self._coordinator_of(request, now)
+        if pending.is_reclaimed or coordinator in (None, self._address):
+            self._flow_records[request.flow] = _FlowRecord(self._address, now)
+            request.origin = NO_ORIGIN
+            self._place_flow(request, now)
+            return
+        assert coordinator is not None
+        self._counts["opens_to_next_coordinator"] += 1
+        self._flow_records[request.flow] = _FlowRecord(
+            coordinator, now, may_be_reset=False
+        )
+        self._pending_placements[request.flow] = _PendingPlacement(
+            request, pending.message, coordinator, now, is_reclaimed=True
+        )
+        self._transport.send_to_host(coordinator, pending.message)
+
+    def _coordinator_of(self, request: FlowRequest, now: float) -> str | None:
+        share = self._placement.choice.shares.share_of_flow(
+            self._zone, request.service, request.flow
+        )
+        return self._coordinators.coordinator(self._zone, request.service, now, share)
+
     def _open_flow(self, packet: bytes, header: FlowPacket, now: float) -> None:
         if not self.is_ready:
             self._counts["opens_before_ready"] += 1
@@ -297,17 +342,14 @@
             packet,
         )
         request = self._build_request(message, header.route_key, self._address, now)
-        share = self._placement.choice.shares.share_of_flow(
-            self._zone, service, header.flow
-        )
-        coordinator = self._coordinators.coordinator(self._zone, service, now, share)
+        coordinator = self._coordinator_of(request, now)
         if coordinator is None or coordinator == self._address:
             self._flow_records[header.flow] = _FlowRecord(self._address, now)
             self._place_flow(request, now)
             return
         self._flow_records[header.flow] = _FlowRecord(coordinator, now)
         self._pending_placements[header.flow] = _PendingPlacement(
-            request, coordinator, now + PLACEMENT_ACKNOWLEDGEMENT_TIMEOUT_SECONDS
+            request, message, coordinator, now
         )
         self._counts["opens_to_steward"] += 1
         self._log.record_sampled_step(
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -16,6 +16,7 @@
 from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
 from kingcuppulley.fabric.server_choice import ServerChoice
 from kingcuppulley.fabric.server_timing import TimedRequest
+from kingcuppulley.fabric.service_shares import ShareSizes
 
 # A caller that still waits answers a server within this time; one that has
 # disconnected never does.
@@ -107,8 +108,9 @@
         registry: TargetRegistry,
         generator: Random,
         on_flow_released: Callable[[FlowRequest, PlacementDecision, float], None],
+        share_sizes: ShareSizes | None = None,
     ) -> None:
-        self._choice = ServerChoice(zone, registry, generator)
+        self._choice = ServerChoice(zone, registry, generator, share_sizes)
         self._on_flow_released = on_flow_released
         self._flows: dict[bytes, _PlacedFlow] = {}
         self._count_deadlines: list[tuple[float, int, _PlacedFlow]] = []
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -19,7 +19,7 @@
 from kingcuppulley.fabric.server_load import ServerLoad
 from kingcuppulley.fabric.server_speed import ServerSpeed
 from kingcuppulley.fabric.server_timing import ServerSpeeds, TimedRequest
-from kingcuppulley.fabric.service_shares import ServiceShares
+from kingcuppulley.fabric.service_shares import ServiceShares, ShareSizes
 from kingcuppulley.fabric.slow_probes import SlowServerProbes
 
 LOAD_REPORT_VALIDITY_SECONDS = 0.5
@@ -97,13 +97,19 @@
 class ServerChoice:
     """Hold the load of each backend server, and choose the best one for a flow."""
 
-    def __init__(self, zone: str, registry: TargetRegistry, generator: Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        registry: TargetRegistry,
+        generator: Random,
+        share_sizes: ShareSizes | None = None,
+    ) -> None:
         self._zone = zone
         self._registry = registry
         self._generator = generator
         self._loads: dict[int, ServerLoad] = {}
         self._reports: dict[str, _ReportedLoads] = {}
-        self._shares = ServiceShares(registry)
+        self._shares = ServiceShares(registry, share_sizes)
         # By service and share.
         self._indexes: dict[str, dict[int, ServerIndex]] = {}
         self._eviction_deadline = 0.0
--- a/src/kingcuppulley/fabric/service_shares.py
+++ b/src/kingcuppulley/fabric/service_shares.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Protocol
 
 from kingcuppulley.backend_servers.heartbeats import ServingState
 from kingcuppulley.backend_servers.target_registry import (
@@ -15,18 +16,40 @@
 )
 from kingcuppulley.internal.rendezvous import hash_bytes
 
-# One coordinator per share must be able to place the flows of all its servers.
+# One coordinator per share must be able to place the flows of all its servers.  Hosts
+# whose capacity is known may bear fewer.
 SERVERS_PER_SHARE = 64
 
 
-def share_count(servers: int) -> int:
+def share_count(servers: int, servers_per_share: int = SERVERS_PER_SHARE) -> int:
     """Return into how many shares a number of servers is divided."""
     count = 1
-    while count * SERVERS_PER_SHARE < servers:
+    while count * servers_per_share < servers:
         count *= 2
     return count
 
 
+class ShareSizes(Protocol):
+    """Say how many servers of a service a share may have in each zone."""
+
+    @property
+    def version(self) -> int:
+        """Return a number that grows when a size may have changed."""
+
+    def servers_per_share(self, zone: str) -> int:
+        """Return the most servers of a share in a zone."""
+
+
+class FixedShareSizes:
+    """Use `SERVERS_PER_SHARE` in every zone."""
+
+    version = 0
+
+    def servers_per_share(self, zone: str) -> int:
+        """Return the most servers of a share in a zone."""
+        return SERVERS_PER_SHARE
+
+
 class ServiceShares:
     """Compute the shares of each service and zone from the registry.
 
@@ -34,15 +57,19 @@
     when it changes.  All hosts with the same registry compute the same shares.
     """
 
-    def __init__(self, registry: TargetRegistry) -> None:
+    def __init__(
+        self, registry: TargetRegistry, sizes: ShareSizes | None = None
+    ) -> None:
         self._registry = registry
-        self._registry_version = -1
+        self._sizes = FixedShareSizes() if sizes is None else sizes
+        self._versions = (-1, -1)
         self._counts: dict[tuple[str, str], int] = {}
 
     def count(self, zone: str, service: str) -> int:
         """Return the number of shares of a service in a zone; at least 1."""
-        if self._registry_version != self._registry.version:
-            self._registry_version = self._registry.version
+        versions = (self._registry.version, self._sizes.version)
+        if self._versions != versions:
+            self._versions = versions
             self._counts = self._compute_counts()
         return self._counts.get((zone, service), 1)
 
@@ -77,4 +104,7 @@
             for target in self._registry.targets
             if target.state in (ServingState.READY, ServingState.DRAINING)
         )
-        return {key: share_count(number) for key, number in servers.items()}
+        return {
+            (zone, service): share_count(number, self._sizes.servers_per_share(zone))
+            for (zone, service), number in servers.items()
+        }
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -287,6 +287,26 @@
     assert len(host.sent.to_targets) == 2
 
 
+def test_a_reclaimed_flow_goes_to_the_next_coordinator_and_is_not_reset():
+    """Hosts that place flows by what they know alone overload the servers."""
+    host = Host(OWN)
+    names = [OWN, OTHER, "a3", "a4", "a5"]
+    infos = [EntryHostInfo(name, "zone-a", False) for name in names]
+    host.coordinators.update(infos, 0.0)
+    first, second = host.coordinators._ranked("zone-a", "order-desk")[:2]
+    assert OWN not in (first, second)
+    host.packet("flow open 0")
+    now = PLACEMENT_ACKNOWLEDGEMENT_TIMEOUT_SECONDS + 0.01
+    host.router.tick(now)
+    assert [address for address, _ in host.sent.to_hosts] == [first, second]
+    assert not host.sent.to_targets
+    # The first coordinator may have placed the flow.
+    host.router.flow_refused(second, FlowRefused(b"flow"))
+    assert not host.sent.to_callers
+    host.router.tick(2 * now)
+    assert len(host.sent.to_targets) == 1
+
+
 def test_an_acknowledged_flow_is_not_reclaimed():
     host = host_with_other_coordinator()
     host.packet("flow open 0")
