Stop timing the request of a flow that is no longer known

A placed flow is forgotten 3 s after its placement, and the answer to a request that is open at that moment is no longer reported. The request stayed on the list of timed requests and counted as overdue, at 3 and 6 times the average, although its server may have answered at once: every long-lived flow could give one such sample.

Placement.tick discards the timing with the flow. The private methods of Placement also move behind its public ones. The new test failed before (2.7 samples instead of at most 0.8).

--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -201,6 +201,25 @@
         self._uncount(placed, now)
         self._release_queued(placed.target.service, now)
 
+    def tick(self, now: float) -> None:
+        """Expire old flows, then release or drop queued flows."""
+        services = set()
+        while self._count_deadlines and self._count_deadlines[0][0] <= now:
+            deadline, _, placed = heapq.heappop(self._count_deadlines)
+            if placed.is_counted and deadline == placed.count_deadline:
+                self._expire(placed, now)
+                services.add(placed.target.service)
+        while self._retention_deadlines and self._retention_deadlines[0][0] <= now:
+            _, flow, placed = self._retention_deadlines.popleft()
+            if self._flows.get(flow) is placed:
+                del self._flows[flow]
+                if placed.timed_request is not None:
+                    self._choice.speeds.discard(placed.timed_request)
+        self._choice.tick(now)
+        for service in services | self._queues.keys():
+            self._release_queued(service, now)
+            self._drop_unplaceable(service, now)
+
     def _start_request(self, placed: _PlacedFlow, now: float) -> None:
         placed.timed_request = self._choice.start_request(
             placed.target, placed.route, now
@@ -223,23 +242,6 @@
         queue = self._queue_of(placed.target.service)
         queue.record_duration(seconds, placed.route, work_seconds)
 
-    def tick(self, now: float) -> None:
-        """Expire old flows, then release or drop queued flows."""
-        services = set()
-        while self._count_deadlines and self._count_deadlines[0][0] <= now:
-            deadline, _, placed = heapq.heappop(self._count_deadlines)
-            if placed.is_counted and deadline == placed.count_deadline:
-                self._expire(placed, now)
-                services.add(placed.target.service)
-        while self._retention_deadlines and self._retention_deadlines[0][0] <= now:
-            _, flow, placed = self._retention_deadlines.popleft()
-            if self._flows.get(flow) is placed:
-                del self._flows[flow]
-        self._choice.tick(now)
-        for service in services | self._queues.keys():
-            self._release_queued(service, now)
-            self._drop_unplaceable(service, now)
-
     def _place_retransmission(
         self, placed: _PlacedFlow, request: FlowRequest, now: float
     ) -> PlacementDecision:
--- a/src/kingcuppulley/fabric/server_timing.py
+++ b/src/kingcuppulley/fabric/server_timing.py
@@ -211,6 +211,13 @@
         request.is_open = False
         self._count_again(request)
 
+    def discard(self, request: TimedRequest) -> None:
+        """Stop timing a request whose end will not be reported.
+
+        It would otherwise become overdue, whenever its server answers.
+        """
+        request.is_open = False
+
     def expire(
         self, timing: ServerTiming, request: TimedRequest | None, now: float
     ) -> None:
--- a/tests/cover/test_server_speed.py
+++ b/tests/cover/test_server_speed.py
@@ -18,7 +18,11 @@
     SLOWED_UNTIL_SECONDS,
     Simulation,
 )
-from kingcuppulley.fabric.placement import Placement, PlacementOutcome
+from kingcuppulley.fabric.placement import (
+    PLACEMENT_RETENTION_SECONDS,
+    Placement,
+    PlacementOutcome,
+)
 from kingcuppulley.fabric.server_choice import ServerChoice
 from kingcuppulley.fabric.server_index import (
     OTHER_SHARE_COST,
@@ -215,6 +219,25 @@
     assert speed_in(placement).slowness > SLOW
 
 
+def test_a_request_of_a_flow_that_is_no_longer_known_does_not_become_overdue():
+    """Its answer is not reported, so an average server would count as slower."""
+    registry = registry_of({"zone-a": 1})
+    placement = Placement("zone-a", registry, Random(1), lambda *_: None)
+    for flow in (b"1", b"2"):
+        placement.open_flow(flow_request(flow), 0.0)
+        placement.flow_established(flow, 0.0)
+        placement.flow_answered(flow, 0.03, 0.06)
+    sent_at = PLACEMENT_RETENTION_SECONDS - 0.01
+    for flow in (b"1", b"2"):
+        placement.flow_established(flow, sent_at)
+    placement.tick(PLACEMENT_RETENTION_SECONDS)
+    sample_count = speed_in(placement)._samples
+    for flow in (b"1", b"2"):
+        placement.flow_answered(flow, 0.03, sent_at + 0.06)
+    placement.tick(sent_at + 0.25)
+    assert speed_in(placement)._samples <= sample_count
+
+
 def test_overdue_requests_show_a_slow_server_before_its_answers_arrive():
     placement = Placement(
         "zone-a", registry_of({"zone-a": 3}), Random(1), lambda *_: None
