Import FlowRequest from its own module

The class moved to fabric/flow_request.py, but nearly all modules still imported it through flow_queue, which re-exported it only for them. Every import now names the module, and the re-export is gone.

--- a/src/kingcuppulley/experiments/queue_order.py
+++ b/src/kingcuppulley/experiments/queue_order.py
@@ -16,7 +16,8 @@
 import msgspec
 
 from kingcuppulley.fabric.fair_share import FairShare, FairShares
-from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
+from kingcuppulley.fabric.flow_queue import FlowQueue
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.placement import MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT
 from kingcuppulley.fabric.request_cost import cost_per_second, priority_weight
 
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -26,7 +26,7 @@
     PlaceFlow,
 )
 from kingcuppulley.errors import MalformedPacketError
-from kingcuppulley.fabric.flow_queue import FlowRequest
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.formats import FlowPacket, PacketFormat
 from kingcuppulley.fabric.placement import (
     LEAST_LOAD,
--- a/src/kingcuppulley/fabric/flow_queue.py
+++ b/src/kingcuppulley/fabric/flow_queue.py
@@ -14,7 +14,7 @@
     FairShare,
     FairShares,
 )
-from kingcuppulley.fabric.flow_request import FlowRequest as FlowRequest
+from kingcuppulley.fabric.flow_request import FlowRequest
 
 # Shorter than the time after which callers retransmit an opening packet: a later
 # refusal could reset a flow that another host has placed in the meantime.
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -13,7 +13,8 @@
     RegisteredTarget,
     TargetRegistry,
 )
-from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
+from kingcuppulley.fabric.flow_queue import FlowQueue
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.server_choice import ServerChoice
 from kingcuppulley.fabric.server_timing import TimedRequest
 
--- a/src/kingcuppulley/fabric/placement_explanation.py
+++ b/src/kingcuppulley/fabric/placement_explanation.py
@@ -9,7 +9,8 @@
 from kingcuppulley.backend_servers.target_registry import RegisteredTarget
 from kingcuppulley.entry_hosts.coordinator_table import CoordinatorTable
 from kingcuppulley.fabric.cookie_router import ANSWER_TRAVEL_SECONDS
-from kingcuppulley.fabric.flow_queue import FlowQueue, FlowRequest
+from kingcuppulley.fabric.flow_queue import FlowQueue
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.formats import PacketFormat
 from kingcuppulley.fabric.placement import (
     LEAST_LOAD,
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -9,7 +9,7 @@
     RegisteredTarget,
     TargetRegistry,
 )
-from kingcuppulley.fabric.flow_queue import FlowRequest
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.server_index import (
     MAXIMUM_TIE_BREAK_COST,
     ServerIndex,
--- a/tests/cover/test_fair_shares.py
+++ b/tests/cover/test_fair_shares.py
@@ -17,8 +17,8 @@
     REFUSAL_WINDOW_SECONDS,
     RELEASE_STALL_TIMEOUT_SECONDS,
     FlowQueue,
-    FlowRequest,
 )
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.placement import Placement, PlacementOutcome
 from kingcuppulley.fabric.request_cost import MAXIMUM_ROUTES, RouteWork
 from tests.seeded_fakes import flow_request, registry_of
--- a/tests/cover/test_flow_queue.py
+++ b/tests/cover/test_flow_queue.py
@@ -8,8 +8,8 @@
 from kingcuppulley.fabric.flow_queue import (
     REFUSAL_WINDOW_SECONDS,
     FlowQueue,
-    FlowRequest,
 )
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.placement import (
     Placement,
     PlacementDecision,
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -10,7 +10,8 @@
 from kingcuppulley.backend_servers.target_registry import (
     UNUSED_TARGET_RETENTION_SECONDS,
 )
-from kingcuppulley.fabric.flow_queue import REFUSAL_WINDOW_SECONDS, FlowRequest
+from kingcuppulley.fabric.flow_queue import REFUSAL_WINDOW_SECONDS
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.placement import Placement, PlacementOutcome
 from kingcuppulley.fabric.server_choice import COLD_SERVER_MINIMUM_INTERVAL_SECONDS
 from tests.seeded_fakes import (
--- a/tests/seeded_fakes.py
+++ b/tests/seeded_fakes.py
@@ -14,7 +14,7 @@
     RegisteredTarget,
     TargetRegistry,
 )
-from kingcuppulley.fabric.flow_queue import FlowRequest
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.placement import (
     Placement,
     PlacementDecision,
