Compare the routes of a queue once per change, not per question

FairShares.is_uniform compared all queued routes each time it was asked, up to five times for each flow of a full service. The answer is now kept until a route is added or evicted, the queue restarts or work is recorded.

--- a/src/kingcuppulley/fabric/fair_share.py
+++ b/src/kingcuppulley/fabric/fair_share.py
@@ -108,6 +108,7 @@
         "_virtual_time",
         "_consecutive_releases",
         "_sequence",
+        "_is_uniform",
     )
 
     def __init__(self) -> None:
@@ -116,6 +117,9 @@
         self._virtual_time = 0.0
         self._consecutive_releases = 0
         self._sequence = count()
+        # None after a change of the routes or their work, until it is needed again: it
+        # is needed several times for each flow.
+        self._is_uniform: bool | None = None
 
     @property
     def has_shares(self) -> bool:
@@ -125,12 +129,9 @@
     @property
     def is_uniform(self) -> bool:
         """Return whether all routes have equal priority and equal work."""
-        if len(self._by_route) < 2:
-            return True
-        if len({priority for _, priority in self._by_route}) > 1:
-            return False
-        works = [share.work_seconds for share in self._by_route.values()]
-        return max(works) <= EQUAL_WORK_RATIO * min(works)
+        if self._is_uniform is None:
+            self._is_uniform = self._compare_routes()
+        return self._is_uniform
 
     @property
     def within_objective_count(self) -> int:
@@ -146,11 +147,13 @@
     def record_work(self, route: bytes, seconds: float) -> None:
         """Record how long a flow of a route occupied a server."""
         self._route_work.record(route, seconds)
+        self._is_uniform = None
 
     def restart(self) -> None:
         """Forget the work that was given, because no flow is queued."""
         self._virtual_time = 0.0
         self._by_route = {k: s for k, s in self._by_route.items() if s.has_flows}
+        self._is_uniform = None
         for share in self._by_route.values():
             share.finish_tag = 0.0
 
@@ -160,6 +163,7 @@
         share = self._by_route.get(key)
         if share is None:
             share = self._by_route[key] = FairShare(*key, self._route_work)
+            self._is_uniform = None
         return share
 
     def add_within_objective(self, request: FlowRequest) -> None:
@@ -226,10 +230,12 @@
         by_route = self._by_route
         if not any(share.has_flows for share in by_route.values()):
             by_route.clear()
+            self._is_uniform = None
             return
         for key, share in list(by_route.items()):
             if not share.has_flows and share.finish_tag <= self._virtual_time:
                 del by_route[key]
+                self._is_uniform = None
 
     def beyond_within_objective(self, share: FairShare) -> FairShare | None:
         """Return the share that gives way to one more flow within its objective.
@@ -273,6 +279,14 @@
             if other is not share
         )
 
+    def _compare_routes(self) -> bool:
+        if len(self._by_route) < 2:
+            return True
+        if len({priority for _, priority in self._by_route}) > 1:
+            return False
+        works = [share.work_seconds for share in self._by_route.values()]
+        return max(works) <= EQUAL_WORK_RATIO * min(works)
+
     def _first_by_tag(self, shares: Iterable[FairShare]) -> FairShare | None:
         return min(
             shares,
--- a/src/kingcuppulley/fabric/flow_queue.py
+++ b/src/kingcuppulley/fabric/flow_queue.py
@@ -93,7 +93,8 @@
     def copy(self) -> FlowQueue:
         """Return a copy on which operations can be tried without an effect.
 
-        The copies share the requests.
+        The copies share the requests and the work of the routes, so `record_duration`
+        is for the original only.
         """
         twin = copy(self)
         twin._by_flow = dict(self._by_flow)
@@ -260,7 +261,9 @@
         )
 
     def _update_order(self, now: float) -> None:
+        """Remove or move the flows at the heads that cannot be released as they are."""
         shares = self._shares
+        # Lists, because every head is updated even if an earlier one left its place.
         while any([self._update_within(share, now) for share in shares.within_heads()]):
             pass
         while any([self._update_past(share, now) for share in shares.past_heads()]):
