Separate the ranks of servers from the choice among them

server_choice.py held both the choice and the description of a ranked server that explanations read. The description and the ranks, now with a name for rank 0, are in ranked_server.py.

The conditions under which a server may get flows stood twice; they are one method. The rule for probes of slow servers is given once, instead of as a function that choose built for each flow.

--- a/src/kingcuppulley/fabric/placement_explanation.py
+++ b/src/kingcuppulley/fabric/placement_explanation.py
@@ -17,7 +17,7 @@
     MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT,
     Placement,
 )
-from kingcuppulley.fabric.server_choice import RankedServer
+from kingcuppulley.fabric.ranked_server import RankedServer
 from kingcuppulley.fabric.server_index import MAXIMUM_TIE_BREAK_COST
 from kingcuppulley.operators.routing import Route, RoutingTable
 
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -10,6 +10,13 @@
     TargetRegistry,
 )
 from kingcuppulley.fabric.flow_request import FlowRequest
+from kingcuppulley.fabric.ranked_server import (
+    AVAILABLE_RANK,
+    COLD_RANK,
+    SUSPECT_RANK,
+    UNREACHABLE_ZONE_RANK,
+    RankedServer,
+)
 from kingcuppulley.fabric.server_index import (
     MAXIMUM_TIE_BREAK_COST,
     ServerIndex,
@@ -24,6 +31,8 @@
 
 LOAD_REPORT_VALIDITY_SECONDS = 0.5
 COLD_SERVER_MINIMUM_INTERVAL_SECONDS = 0.6
+# A server of an unreachable zone still gets a flow after this time, to detect whether
+# only the entry hosts of the zone have failed.
 UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS = 0.25
 ZONE_ANSWER_VALIDITY_SECONDS = 1.0
 # Age of an index of servers after which it is built again: cold starts and suspicions
@@ -44,56 +53,6 @@
         self.deadline = 0.0
 
 
-# Servers are compared by rank first and by cost second; the lowest rank is the best.
-# A server of an unreachable zone still gets a flow at most every
-# `UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS`, to detect whether only the entry hosts of
-# the zone have failed.
-_UNREACHABLE_ZONE_RANK = 3
-_COLD_RANK = 2
-_SUSPECT_RANK = 1
-_RANK_NAMES = ("available", "suspect", "cold", "zone unreachable")
-
-
-class RankedServer:
-    """Describe a backend server as the choice sees it, without the tie break.
-
-    `may_be_used` is false for a server that gets no flow before a later time.
-    """
-
-    __slots__ = ("target", "rank", "flows", "slowness", "cost", "may_be_used")
-
-    def __init__(
-        self,
-        target: RegisteredTarget,
-        rank: int,
-        flows: int,
-        slowness: float,
-        cost: float,
-        may_be_used: bool,
-    ) -> None:
-        self.target = target
-        self.rank = rank
-        self.flows = flows
-        self.slowness = slowness
-        self.cost = cost
-        self.may_be_used = may_be_used
-
-    @property
-    def rank_name(self) -> str:
-        """Return the rank in words."""
-        return _RANK_NAMES[self.rank]
-
-    @property
-    def has_capacity(self) -> bool:
-        """Return whether a flow would be placed on the server now."""
-        return has_capacity(self.target.slots, self.flows, self.slowness)
-
-    @property
-    def counted_slots(self) -> int:
-        """Return the slots that count towards the total of the service."""
-        return 0 if self.rank == _UNREACHABLE_ZONE_RANK else self.target.slots
-
-
 class ServerChoice:
     """Hold the load of each backend server, and choose the best one for a flow."""
 
@@ -113,7 +72,9 @@
         self._may_place_on_cold: Callable[[RegisteredTarget], bool] = lambda _: True
         self._speeds = ServerSpeeds(self._move_changed, self._handle_slow)
         self._on_slow: Callable[[RegisteredTarget, ServerSpeed], None] = lambda *_: None
-        self._probes = SlowServerProbes(registry, self._shares, self._loads)
+        self._probes = SlowServerProbes(
+            registry, self._shares, self._loads, self._may_probe
+        )
 
     @property
     def shares(self) -> ServiceShares:
@@ -195,7 +156,7 @@
         self._probes.record_placement(load, now)
         if now < target.cold_deadline:
             load.next_placement_at = now + COLD_SERVER_MINIMUM_INTERVAL_SECONDS
-        elif self._rank(target, load, now) == _UNREACHABLE_ZONE_RANK:
+        elif self._rank(target, load, now) == UNREACHABLE_ZONE_RANK:
             load.next_placement_at = now + UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS
 
     def record_answer(
@@ -263,9 +224,7 @@
         share = self._shares.share_of_flow(self._zone, service, request.flow)
         if not excluded_cookies:
             index = self._index_of(service, share, now)
-            probed = self._probes.next_due(
-                service, share, lambda t: self._may_probe(t, share, now), now
-            )
+            probed = self._probes.next_due(service, share, now)
             if probed is not None:
                 return probed, True, index.slots
             while (target := index.choose(self._generator)) is not None:
@@ -303,9 +262,7 @@
 
         Nothing is changed.
         """
-        return self._probes.peek_due(
-            service, share, lambda t: self._may_probe(t, share, now), now
-        )
+        return self._probes.peek_due(service, share, now)
 
     def _index_of(self, service: str, share: int, now: float) -> ServerIndex:
         indexes = self._indexes.setdefault(service, {})
@@ -323,9 +280,9 @@
         for target in self._candidates(service, share):
             load = self.load(target.cookie)
             rank = self._rank(target, load, now)
-            if rank != _UNREACHABLE_ZONE_RANK:
+            if rank != UNREACHABLE_ZONE_RANK:
                 index.slots += target.slots
-            if rank == 0:
+            if rank == AVAILABLE_RANK:
                 is_own = self._is_own(target, share)
                 index.add(target, load.total_flows, load.speed, is_own=is_own)
         return index
@@ -348,11 +305,8 @@
     def _candidates(self, service: str, share: int) -> Iterator[RegisteredTarget]:
         """Return the servers in service that the flows of a share may use."""
         for target in self._registry.of_service(service):
-            if (
-                target.is_eligible
-                and target.zone not in self._zones_out
-                and self._registry.has_own_cookie(target)
-                and self._shares.is_candidate(target, self._zone, service, share)
+            if self._is_in_service(target) and self._shares.is_candidate(
+                target, self._zone, service, share
             ):
                 yield target
 
@@ -361,15 +315,20 @@
             target.zone == self._zone and self._shares.share_of_server(target) == share
         )
 
-    def _is_usable(self, target: RegisteredTarget, now: float) -> bool:
-        """Return whether any flow may use a server now."""
+    def _is_in_service(self, target: RegisteredTarget) -> bool:
+        """Return whether a server may get new flows, whatever its rank is."""
         return (
             target.is_eligible
             and target.zone not in self._zones_out
             and self._registry.has_own_cookie(target)
-            and self._rank(target, self.load(target.cookie), now) == 0
         )
 
+    def _is_usable(self, target: RegisteredTarget, now: float) -> bool:
+        """Return whether any flow may use a server now."""
+        if not self._is_in_service(target):
+            return False
+        return self._rank(target, self.load(target.cookie), now) == AVAILABLE_RANK
+
     def _compare_all(
         self,
         service: str,
@@ -380,48 +339,48 @@
         """Choose as `choose` does, among the servers of every rank."""
         best: RegisteredTarget | None = None
         # Worse than any rank.
-        best_key = (9, 0.0)
+        best_key = (UNREACHABLE_ZONE_RANK + 1, 0.0)
         best_has_capacity = False
         slots = 0
         for target in self._candidates(service, share):
             load = self.load(target.cookie)
             rank = self._rank(target, load, now)
-            if rank != _UNREACHABLE_ZONE_RANK:
+            if rank != UNREACHABLE_ZONE_RANK:
                 slots += target.slots
             if target.cookie in excluded_cookies or not self._may_use(
                 target, rank, load, now
             ):
                 continue
             flows = load.total_flows
-            tie_break_cost = MAXIMUM_TIE_BREAK_COST * self._generator.random()
+            slowness = load.speed.slowness
             is_own = self._is_own(target, share)
-            cost = load_cost(target.slots, flows, load.speed.slowness, is_own=is_own)
-            cost += tie_break_cost
+            cost = load_cost(target.slots, flows, slowness, is_own=is_own)
+            cost += MAXIMUM_TIE_BREAK_COST * self._generator.random()
             if (rank, cost) < best_key:
                 best = target
                 best_key = (rank, cost)
-                best_has_capacity = self._has_capacity(target)
+                best_has_capacity = has_capacity(target.slots, flows, slowness)
         return best, best_has_capacity, slots
 
     def _rank(self, target: RegisteredTarget, load: ServerLoad, now: float) -> int:
         if target.zone in self._unreachable_zones:
             answered_at = self._zone_answered_at.get(target.zone, float("-inf"))
             if now - answered_at > ZONE_ANSWER_VALIDITY_SECONDS:
-                return _UNREACHABLE_ZONE_RANK
+                return UNREACHABLE_ZONE_RANK
         if now < target.cold_deadline:
-            return _COLD_RANK
+            return COLD_RANK
         if now < load.suspicion_deadline:
-            return _SUSPECT_RANK
-        return 0
+            return SUSPECT_RANK
+        return AVAILABLE_RANK
 
     def _may_use(
         self, target: RegisteredTarget, rank: int, load: ServerLoad, now: float
     ) -> bool:
-        if rank < _COLD_RANK:
+        if rank < COLD_RANK:
             return True
         if now < load.next_placement_at:
             return False
-        return rank != _COLD_RANK or self._may_place_on_cold(target)
+        return rank != COLD_RANK or self._may_place_on_cold(target)
 
     def _evict_loads(self) -> None:
         """Evict the loads of servers that are no longer registered."""
--- a/src/kingcuppulley/fabric/slow_probes.py
+++ b/src/kingcuppulley/fabric/slow_probes.py
@@ -22,20 +22,29 @@
 
     A slow server that is idle gets a flow now and then even if others are better, since
     its recovery would not show otherwise.  `loads` are the loads by cookie, which the
-    owner changes.
+    owner changes; `may_probe` returns whether the flows of a share may probe a server.
     """
 
-    __slots__ = ("_registry", "_shares", "_loads", "_by_share", "_cookies")
+    __slots__ = (
+        "_registry",
+        "_shares",
+        "_loads",
+        "_may_probe",
+        "_by_share",
+        "_cookies",
+    )
 
     def __init__(
         self,
         registry: TargetRegistry,
         shares: ServiceShares,
         loads: dict[int, ServerLoad],
+        may_probe: Callable[[RegisteredTarget, int, float], bool],
     ) -> None:
         self._registry = registry
         self._shares = shares
         self._loads = loads
+        self._may_probe = may_probe
         # By service and share, heaps of the time of the next probe and the cookie.
         self._by_share: dict[tuple[str, int], list[tuple[float, int]]] = {}
         self._cookies: set[int] = set()
@@ -67,13 +76,7 @@
             else SLOW_SERVER_PROBE_INTERVAL_SECONDS
         )
 
-    def next_due(
-        self,
-        service: str,
-        share: int,
-        may_use: Callable[[RegisteredTarget], bool],
-        now: float,
-    ) -> RegisteredTarget | None:
+    def next_due(self, service: str, share: int, now: float) -> RegisteredTarget | None:
         """Return an idle slow server that has got no flow for some time.
 
         The probe stays due until a flow is placed on the server.
@@ -86,7 +89,7 @@
                 heapq.heappop(probes)
                 self._cookies.remove(cookie)
                 continue
-            if self._is_due(target, may_use, now):
+            if self._is_due(target, share, now):
                 return target
             next_probe_at = self._loads[cookie].next_probe_at
             if next_probe_at <= now:
@@ -94,17 +97,11 @@
             heapq.heapreplace(probes, (next_probe_at, cookie))
         return None
 
-    def peek_due(
-        self,
-        service: str,
-        share: int,
-        may_use: Callable[[RegisteredTarget], bool],
-        now: float,
-    ) -> RegisteredTarget | None:
+    def peek_due(self, service: str, share: int, now: float) -> RegisteredTarget | None:
         """Return what `next_due` would return; nothing is changed."""
         for due_at, cookie in sorted(self._by_share.get((service, share), ())):
             target = self._slow_target(cookie)
-            if due_at <= now and target and self._is_due(target, may_use, now):
+            if due_at <= now and target and self._is_due(target, share, now):
                 return target
         return None
 
@@ -115,11 +112,7 @@
             return None
         return self._registry.by_cookie(cookie)
 
-    def _is_due(
-        self,
-        target: RegisteredTarget,
-        may_use: Callable[[RegisteredTarget], bool],
-        now: float,
-    ) -> bool:
+    def _is_due(self, target: RegisteredTarget, share: int, now: float) -> bool:
         load = self._loads[target.cookie]
-        return load.next_probe_at <= now and not load.total_flows and may_use(target)
+        is_idle = load.next_probe_at <= now and not load.total_flows
+        return is_idle and self._may_probe(target, share, now)
