--- a/src/kingcuppulley/callers/request_drain.py
+++ b/src/kingcuppulley/callers/request_drain.py
@@ -25,7 +25,7 @@
 
 
 class CallerConnections(Protocol):
-    """Stop to accept callers' connections, and close those that are open."""
+    """Stop accepting callers' connections, and close those that are open."""
 
     @property
     def pending_connection_count(self) -> int:
--- a/src/kingcuppulley/entry_hosts/control_follower.py
+++ b/src/kingcuppulley/entry_hosts/control_follower.py
@@ -106,6 +106,7 @@
         self._statuses: dict[str, ControlHostStatus] = {}
         self._relay: str | None = None
         self._relay_chosen_at = 0.0
+        # The host and instance of the relay whose updates arrived last.
         self._answering_relay = ("", "")
 
     @property
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -373,6 +373,7 @@
     ) -> None:
         if outcome is not PlacementOutcome.PLACED:
             level = min(request.priority, MAXIMUM_COUNTED_PRIORITY)
+            # By name: the value of QUEUED is `held`, the term of earlier counters.
             self._counts[f"flows_{outcome.name.lower()}_priority_{level}"] += 1
 
     def _forward(self, packet: bytes, header: FlowPacket, now: float) -> None:
--- a/src/kingcuppulley/fabric/egress_queue.py
+++ b/src/kingcuppulley/fabric/egress_queue.py
@@ -110,7 +110,7 @@
         """Queue a packet unless a copy of it waits; `priority` is that of its route.
 
         Beyond a bound, the newest packet of the flow with the longest queue is dropped.
-        Return whether it was no copy.
+        Return False only if a copy of the packet waits.
         """
         backlog = self._backlogs.get(packet.flow)
         if backlog is None:
--- a/src/kingcuppulley/fabric/server_load.py
+++ b/src/kingcuppulley/fabric/server_load.py
@@ -1,4 +1,4 @@
-"""Track the open flows of one backend server and its suspected failure."""
+"""Track the open flows of one backend server, its suspected failure and its speed."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class ServerLoad:
-    """Track the open flows of one backend server and its suspected failure.
+    """Track the open flows of one backend server, its suspected failure and its speed.
 
     Attributes
     ----------
@@ -28,12 +28,14 @@
         Open flows that other hosts placed, by their valid reports.
     suspicion_seconds : float
         How long the next suspicion lasts.
+    suspicion_deadline : float
+        Until when other servers are preferred, because the server did not answer.
     next_placement_at : float
         Earliest time of the next flow while the server is cold or its zone unreachable.
     average_seconds : float
         Moving average of how long answered flows last.
     timing : ServerTiming
-        Slowness of the server, relative to the others of its service.
+        Slowness of the server, and the requests that it is estimated from.
     next_probe_at : float
         Earliest time of the next flow that probes the server while it is slow.
     """
--- a/src/kingcuppulley/fabric/server_speed.py
+++ b/src/kingcuppulley/fabric/server_speed.py
@@ -14,6 +14,7 @@
 MAXIMUM_SLOWNESS = 8.0
 MINIMUM_STEP = -3
 MAXIMUM_STEP = 9
+# A server becomes slow at the one slowness, and is back to normal at the other.
 SLOW = 2.0
 BACK_TO_NORMAL = 1.5
 # How far an estimate must be from the current step, in steps, before the step changes.
--- a/src/kingcuppulley/fabric/server_timing.py
+++ b/src/kingcuppulley/fabric/server_timing.py
@@ -44,7 +44,23 @@
 
 
 class TimedRequest:
-    """Hold a request that a server works for, to compare its duration with others."""
+    """Hold a request that a server works for, to compare its duration with others.
+
+    Attributes
+    ----------
+    started_at : float or None
+        When the server had a slot for the request; None before.
+    counted : float or None
+        Logarithm of the ratio that counts for the request already.
+    log_average : float
+        Logarithm of the average duration that `counted` is relative to.
+    overdue_count : int
+        How many of `OVERDUE_MULTIPLES` were reached.
+    is_established : bool
+        Whether the server has answered the opening packet of the flow.
+    is_expired : bool
+        Whether the flow is no longer counted, although its end is not known.
+    """
 
     __slots__ = (
         "target",
@@ -72,9 +88,7 @@
         self.timing = timing
         self.route = route
         self.opened_at = now
-        # When the server had a slot for the request; None before.
         self.started_at = started_at
-        # The ratio that counts already, and the average that it is relative to.
         self.counted: float | None = None
         self.log_average = 0.0
         self.overdue_count = 0
@@ -194,7 +208,7 @@
 
     def establish(self, request: TimedRequest) -> None:
         """Record that the server has answered, so that the request may get overdue."""
-        self._count_again(request)
+        self._free_expired_slot(request)
         if not request.is_established:
             request.is_established = True
             self._watch(request)
@@ -209,7 +223,7 @@
     def close(self, request: TimedRequest) -> None:
         """End the timing of a request that has ended."""
         request.is_open = False
-        self._count_again(request)
+        self._free_expired_slot(request)
 
     def discard(self, request: TimedRequest) -> None:
         """Stop timing a request whose end will not be reported.
@@ -229,7 +243,8 @@
         if request is not None:
             request.is_expired = True
 
-    def _count_again(self, request: TimedRequest) -> None:
+    def _free_expired_slot(self, request: TimedRequest) -> None:
+        """Free the slot that a request was taken to occupy after its count expired."""
         if request.is_expired and request.timing.expired:
             request.timing.expired.popleft()
         request.is_expired = False
--- a/src/kingcuppulley/seeded/egress_pacer.py
+++ b/src/kingcuppulley/seeded/egress_pacer.py
@@ -25,6 +25,8 @@
 SMALL_DATAGRAM_BYTES = 400
 # Uploads are not counted on a faster link, which 100 of them at once leave fast enough.
 MAXIMUM_ADMISSION_BYTES_PER_SECOND = 12_500_000.0
+# More than any UDP datagram has.
+UNLIMITED_DATAGRAM_BYTES = 1 << 16
 MAXIMUM_QUEUE_SECONDS = 1.0
 # One flow's packets fit into the queue of a slow link.
 MINIMUM_QUEUE_BYTES = MAXIMUM_FLOW_PACKETS * FULL_PACKET_BYTES
@@ -97,11 +99,12 @@
         maximum_bytes = min(int(rate * MAXIMUM_QUEUE_SECONDS), MAXIMUM_QUEUE_BYTES)
         self._queue = EgressQueue(max(maximum_bytes, MINIMUM_QUEUE_BYTES), metrics)
         self._admission = LinkAdmission(rate)
+        # The two tables are kept here, too, because each packet is looked up in them.
         self._open_requests = self._admission.open_requests
         # On a slow link, large packets are not prepaid, because they are recorded.
         has_admission = bytes_per_second <= MAXIMUM_ADMISSION_BYTES_PER_SECOND
         self._prepaid_datagram_limit = (
-            SMALL_DATAGRAM_BYTES if has_admission else 1 << 16
+            SMALL_DATAGRAM_BYTES if has_admission else UNLIMITED_DATAGRAM_BYTES
         )
         self._sent_sequences = SentSequences()
         self._sequenced_flows = self._sent_sequences.flows
@@ -131,7 +134,7 @@
 
     def charge(self, payload_bytes: int) -> None:
         """Charge a datagram that was sent over another socket of this host."""
-        self._charge(payload_bytes + DATAGRAM_HEADERS_BYTES, self._time())
+        self._charge_and_prepay(payload_bytes + DATAGRAM_HEADERS_BYTES, self._time())
 
     def send_to_target(
         self,
@@ -154,7 +157,7 @@
                     return
                 self._record_sent_at_once(header, size + DATAGRAM_HEADERS_BYTES, now)
             if size < self._prepaid_datagram_limit:
-                self._charge(size + DATAGRAM_HEADERS_BYTES, now)
+                self._charge_and_prepay(size + DATAGRAM_HEADERS_BYTES, now)
             else:
                 self._budget.charge(size + DATAGRAM_HEADERS_BYTES, now)
         if not self._send(datagram, endpoint):
@@ -168,7 +171,7 @@
             return
         self._admission.record(header.flow, header.route_key, size, now)
 
-    def _charge(self, size: int, now: float) -> None:
+    def _charge_and_prepay(self, size: int, now: float) -> None:
         """Charge a datagram that is sent now, and prepay if the link has room."""
         self._budget.charge(size - self._prepaid_bytes, now)
         self._prepaid_bytes = 0
