Refuse no upload on a link above 100 Mbit/s

On such a link the pacer leaves out the admission. The new test failed before: with a backlog, some of 1,000 uploads were refused.

--- a/src/kingcuppulley/seeded/egress_pacer.py
+++ b/src/kingcuppulley/seeded/egress_pacer.py
@@ -68,6 +68,7 @@
         "_prepaid_bytes",
         "_queue",
         "_admission",
+        "_has_admission",
         "_open_requests",
         "_prepaid_datagram_limit",
         "_sent_sequences",
@@ -101,10 +102,10 @@
         self._admission = LinkAdmission(rate)
         # The two tables are kept here, too, because each packet is looked up in them.
         self._open_requests = self._admission.open_requests
+        self._has_admission = bytes_per_second <= MAXIMUM_ADMISSION_BYTES_PER_SECOND
         # On a slow link, large packets are not prepaid, because they are recorded.
-        has_admission = bytes_per_second <= MAXIMUM_ADMISSION_BYTES_PER_SECOND
         self._prepaid_datagram_limit = (
-            SMALL_DATAGRAM_BYTES if has_admission else UNLIMITED_DATAGRAM_BYTES
+            SMALL_DATAGRAM_BYTES if self._has_admission else UNLIMITED_DATAGRAM_BYTES
         )
         self._sent_sequences = SentSequences()
         self._sequenced_flows = self._sent_sequences.flows
@@ -124,7 +125,7 @@
 
     def may_open(self, header: FlowPacket, objective_seconds: float) -> bool:
         """Return whether the link can carry the flow of a first opening packet."""
-        return self._admission.may_open(
+        return not self._has_admission or self._admission.may_open(
             header.flow,
             header.route_key,
             objective_seconds,
@@ -169,7 +170,8 @@
         ):
             self._counts["egress_repeats"] += 1
             return
-        self._admission.record(header.flow, header.route_key, size, now)
+        if self._has_admission:
+            self._admission.record(header.flow, header.route_key, size, now)
 
     def _charge_and_prepay(self, size: int, now: float) -> None:
         """Charge a datagram that is sent now, and prepay if the link has room."""
@@ -189,7 +191,8 @@
         if not self._queue.queued_bytes:
             self._begin_backlog(now)
         packet = QueuedPacket(header.flow, header.sequence, datagram, endpoint, now)
-        if self._queue.add(packet, self._priority_of(header.route_key)):
+        is_new = self._queue.add(packet, self._priority_of(header.route_key))
+        if is_new and self._has_admission:
             self._admission.record(header.flow, header.route_key, packet.size, now)
         queued_bytes = self._queue.queued_bytes
         if queued_bytes > self._logged_backlog_bytes and not self._is_backlog_logged:
--- a/tests/cover/test_egress_pacing.py
+++ b/tests/cover/test_egress_pacing.py
@@ -282,6 +282,17 @@
     assert not all(link.may_open(str(number)) for number in range(100))
 
 
+def test_a_fast_link_refuses_no_upload_whatever_its_backlog_is():
+    """Its uploads are counted only in part, so their backlog is not known."""
+    link = PacedLink(13_000_000.0)
+    for flow in range(300):
+        link.offer_window(str(flow))
+    for flow in range(300):
+        link.acknowledge_answer(str(flow))
+    assert link.pacer.queued_bytes
+    assert all(link.may_open(str(number)) for number in range(1000))
+
+
 def test_the_memory_of_the_admission_is_bounded():
     admission = LinkAdmission(RATE)
     for number in range(2 * MAXIMUM_OPEN_REQUESTS):
