--- a/src/kingcuppulley/fabric/placement_explanation.py
+++ b/src/kingcuppulley/fabric/placement_explanation.py
@@ -45,7 +45,8 @@
     slowness : float
         How long requests take, relative to an average server of the service.
     cost : float
-        Flows per slot times slowness, and more for servers of other shares and zones.
+        Flows per slot, with one flow more, times slowness; more for servers of other
+        shares and zones.
     has_capacity : bool
         Whether a flow would be placed on the server instead of being queued.
     may_be_chosen : bool
@@ -159,13 +160,13 @@
         probed = choice.due_probe(service, share, now)
         contenders = _find_contenders(servers, probed)
         queue = self._placement.queue_of(service)
-        queue = FlowQueue() if queue is None else queue.copy()
-        explained_queue = ExplainedQueue(
-            flows=len(queue), within_objective=queue.copy().count_within_objective(now)
-        )
+        if queue is None:
+            queue = FlowQueue()
         if is_coordinator:
             request = self._build_request(flow, service, route, now)
-            outcome, reason = self._decide(request, queue, servers, contenders, now)
+            outcome, reason = self._decide(
+                request, queue.copy(), servers, contenders, now
+            )
         else:
             outcome = ExpectedOutcome.SENT_TO_COORDINATOR
             reason = f"{coordinator} places the flows of the share; ask that host"
@@ -182,7 +183,7 @@
             share_count=choice.shares.count(self._zone, service),
             coordinator=coordinator,
             is_coordinator=is_coordinator,
-            queue=explained_queue,
+            queue=_explain_queue(queue, now),
             servers=[
                 _explain_server(server, server in contenders) for server in servers
             ],
@@ -212,7 +213,7 @@
             and request.flow not in queue
             and not checked.has_within_objective(now)
         )
-        if is_next and with_capacity and with_capacity == len(contenders):
+        if is_next and with_capacity == len(contenders):
             return ExpectedOutcome.PLACED, LEAST_LOAD
         limit = MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT * slots
         if queue.add(request, now, limit):
@@ -220,7 +221,7 @@
             reason = _queueing_reason(len(contenders), with_capacity)
         else:
             outcome, reason = ExpectedOutcome.REFUSED, "too many wait"
-        if is_next and with_capacity:
+        if is_next:
             reason = f"placed, or {outcome.value} if a full server is drawn"
             outcome = ExpectedOutcome.DEPENDS_ON_TIE_BREAK
         return outcome, reason
@@ -266,6 +267,12 @@
     ]
 
 
+def _explain_queue(queue: FlowQueue, now: float) -> ExplainedQueue:
+    # Counting removes outdated entries, so it is done on a copy.
+    within_objective = queue.copy().count_within_objective(now)
+    return ExplainedQueue(flows=len(queue), within_objective=within_objective)
+
+
 def _explain_server(server: RankedServer, may_be_chosen: bool) -> ExplainedServer:
     return ExplainedServer(
         name=server.target.name,
