--- a/tests/cover/test_egress_pacing.py
+++ b/tests/cover/test_egress_pacing.py
@@ -30,6 +30,11 @@
 RATE = LINK_BYTES_PER_SECOND * USABLE_SHARE_OF_RATE
 
 
+@pytest.fixture
+def link() -> PacedLink:
+    return PacedLink()
+
+
 def test_without_a_rate_the_router_sends_directly_to_the_socket():
     metrics = Metrics()
     address = SocketAddress("127.0.0.1", 7000)
@@ -56,8 +61,9 @@
     assert not link.loop.timers
 
 
-def test_small_datagrams_and_those_without_a_header_pass_a_backlog_in_the_same_call():
-    link = PacedLink()
+def test_small_datagrams_and_those_without_a_header_pass_a_backlog_in_the_same_call(
+    link,
+):
     link.fill()
     sent_before = len(link.sent)
     link.offer("small", size=399)
@@ -65,8 +71,7 @@
     assert link.sent_flows()[sent_before:] == ["small", "opening"]
 
 
-def test_datagrams_sent_at_once_at_twice_the_rate_do_not_starve_data():
-    link = PacedLink()
+def test_datagrams_sent_at_once_at_twice_the_rate_do_not_starve_data(link):
     link.offer_window("upload")
     for _ in range(2000):
         link.offer("small", size=300)
@@ -85,8 +90,7 @@
     assert 0.95 * rate * 0.1 < sent_bytes <= rate * 0.1 + 0.015 * rate
 
 
-def test_datagrams_sent_at_once_are_charged_once():
-    link = PacedLink()
+def test_datagrams_sent_at_once_are_charged_once(link):
     for _ in range(1000):
         link.offer("small", size=300)
         link.loop.run(328 / (0.9 * RATE))
@@ -98,8 +102,7 @@
     assert link.pacer.queued_bytes
 
 
-def test_a_large_message_delays_data_only_by_the_bounded_debt():
-    link = PacedLink()
+def test_a_large_message_delays_data_only_by_the_bounded_debt(link):
     link.pacer.charge(10_000_000)
     link.offer("upload")
     assert link.pacer.queued_bytes
@@ -107,8 +110,7 @@
     assert link.sent_flows() == ["upload"]
 
 
-def test_a_host_that_was_paused_sends_a_burst_and_not_its_backlog():
-    link = PacedLink()
+def test_a_host_that_was_paused_sends_a_burst_and_not_its_backlog(link):
     link.offer_window("upload")
     # More packets at once were lost in the queue of a 2 Mbit/s link.
     assert 2 <= len(link.sent) <= 4
@@ -119,8 +121,7 @@
     assert len(link.loop.timers) == 1
 
 
-def test_a_packet_does_not_pass_its_flow_while_the_timer_of_the_queue_is_late():
-    link = PacedLink()
+def test_a_packet_does_not_pass_its_flow_while_the_timer_of_the_queue_is_late(link):
     link.offer_window("upload")
     link.loop.pause(1.0)
     link.offer("small", size=50)
@@ -129,8 +130,7 @@
     assert link.sent[-1][2] == last
 
 
-def test_a_short_exchange_passes_bulk_data_and_lower_priorities():
-    link = PacedLink()
+def test_a_short_exchange_passes_bulk_data_and_lower_priorities(link):
     link.offer_window("upload")
     sent_before = len(link.sent)
     link.offer("low", size=900, priority=2)
@@ -139,8 +139,7 @@
     assert link.sent_flows()[sent_before : sent_before + 3] == ["high", "upload", "low"]
 
 
-def test_a_flood_of_short_exchanges_starves_neither_low_priorities_nor_bulk_data():
-    link = PacedLink()
+def test_a_flood_of_short_exchanges_starves_neither_low_priorities_nor_bulk_data(link):
     link.offer_window("upload")
     link.offer("low", size=900, priority=9)
     for number in range(300):
@@ -150,8 +149,7 @@
     assert (counts["upload"], counts["low"]) == (16, 1)
 
 
-def test_a_flow_that_sends_one_packet_at_a_time_gets_no_more_than_its_share():
-    link = PacedLink()
+def test_a_flow_that_sends_one_packet_at_a_time_gets_no_more_than_its_share(link):
     for flow in "abc":
         link.offer_window(flow)
     link.loop.run(7 * FULL_PACKET_BYTES / RATE)
@@ -161,8 +159,7 @@
     assert link.sent_flows().count("single") < 10
 
 
-def test_flows_share_the_link_by_the_weight_of_their_priority():
-    link = PacedLink()
+def test_flows_share_the_link_by_the_weight_of_their_priority(link):
     link.fill()
     link.offer_window("a", priority=1)
     link.offer_window("b", priority=2)
@@ -174,8 +171,7 @@
     assert counts["a"] / counts["b"] == pytest.approx(2, rel=0.35)
 
 
-def test_a_copy_of_a_queued_packet_is_dropped():
-    link = PacedLink()
+def test_a_copy_of_a_queued_packet_is_dropped(link):
     link.fill()
     link.offer("upload", 7)
     link.offer("upload", 7)
@@ -187,8 +183,7 @@
     assert link.metrics.counts["egress_repeats_dropped"] == 1
 
 
-def test_a_repeat_of_a_packet_that_was_sent_is_sent_and_counted():
-    link = PacedLink()
+def test_a_repeat_of_a_packet_that_was_sent_is_sent_and_counted(link):
     # The sequence numbers wrap around.
     link.offer_window("upload", first=0xFFFF_FFF8)
     link.loop.run(1.0)
@@ -198,8 +193,7 @@
     assert link.metrics.counts["egress_repeats"] == 1
 
 
-def test_the_newest_packet_of_a_flow_beyond_its_window_is_dropped():
-    link = PacedLink()
+def test_the_newest_packet_of_a_flow_beyond_its_window_is_dropped(link):
     link.fill()
     link.offer_window("upload", MAXIMUM_FLOW_PACKETS)
     dropped = link.offer("upload", MAXIMUM_FLOW_PACKETS)
@@ -209,8 +203,7 @@
     assert link.metrics.counts["egress_dropped"] == 1
 
 
-def test_a_full_queue_drops_packets_of_the_longest_flow():
-    link = PacedLink()
+def test_a_full_queue_drops_packets_of_the_longest_flow(link):
     link.fill()
     link.offer_window("long")
     for number in range(200):
@@ -225,8 +218,7 @@
     assert counts["short-199"] == 0
 
 
-def test_a_long_backlog_is_logged_when_it_begins_and_when_it_is_gone():
-    link = PacedLink()
+def test_a_long_backlog_is_logged_when_it_begins_and_when_it_is_gone(link):
     link.offer_window("a")
     link.loop.run(1.0)
     assert link.events == []
--- a/tests/cover/test_server_speed.py
+++ b/tests/cover/test_server_speed.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from kingcuppulley.backend_servers.target_registry import RegisteredTarget
 from kingcuppulley.entry_hosts.seeded_host import SeededEntryHost
 from kingcuppulley.experiments.uneven_servers import (
     EQUAL,
@@ -185,8 +186,7 @@
 def test_retransmitted_flows_and_cold_servers_give_no_samples(
     retransmission, cold_deadline
 ):
-    registry = registry_of({"zone-a": 1})
-    placement = Placement("zone-a", registry, Random(1), lambda *_: None)
+    placement = placement_on(1)
     target_in(placement).cold_deadline = cold_deadline
     now = 0.0
     for number in range(20):
@@ -201,9 +201,7 @@
 
 
 def test_the_answers_on_long_lived_flows_show_a_slow_server():
-    placement = Placement(
-        "zone-a", registry_of({"zone-a": 6}), Random(1), lambda *_: None
-    )
+    placement = placement_on(6)
     placed = {}
     for number in range(6):
         flow = b"flow-%d" % number
@@ -220,30 +218,27 @@
 
 
 def test_a_request_of_a_flow_that_is_no_longer_known_does_not_become_overdue():
-    """Its answer is not reported, so an average server would count as slower."""
-    registry = registry_of({"zone-a": 1})
-    placement = Placement("zone-a", registry, Random(1), lambda *_: None)
-    for flow in (b"1", b"2"):
+    """Its answer is not reported, so an average server would count as slow."""
+    placement = placement_on(1, slots=8)
+    flows = [b"%d" % number for number in range(8)]
+    for flow in flows:
         placement.open_flow(flow_request(flow), 0.0)
         placement.flow_established(flow, 0.0)
         placement.flow_answered(flow, 0.03, 0.06)
     sent_at = PLACEMENT_RETENTION_SECONDS - 0.01
-    for flow in (b"1", b"2"):
+    for flow in flows:
         placement.flow_established(flow, sent_at)
     placement.tick(PLACEMENT_RETENTION_SECONDS)
-    sample_count = speed_in(placement)._samples
-    for flow in (b"1", b"2"):
+    for flow in flows:
         placement.flow_answered(flow, 0.03, sent_at + 0.06)
     placement.tick(sent_at + 0.25)
-    assert speed_in(placement)._samples <= sample_count
+    assert speed_in(placement).slowness == 1.0
 
 
 def test_overdue_requests_show_a_slow_server_before_its_answers_arrive():
-    placement = Placement(
-        "zone-a", registry_of({"zone-a": 3}), Random(1), lambda *_: None
-    )
+    placement = placement_on(3)
     speeds = placement.choice.speeds
-    slow, normal, _ = placement.choice._registry.of_service(SERVICE)
+    slow, normal, _ = targets_in(placement)
     for number in range(30):
         feed(placement, normal, 0.05, number * 0.1)
     requests = [
@@ -309,8 +304,18 @@
     return speed
 
 
-def target_in(placement: Placement):
-    return placement.choice._registry.of_service(SERVICE)[0]
+def placement_on(servers: int, slots: int = 2) -> Placement:
+    registry = registry_of({"zone-a": servers}, slots=slots)
+    return Placement("zone-a", registry, Random(1), lambda *_: None)
+
+
+def targets_in(placement: Placement) -> list[RegisteredTarget]:
+    servers = placement.choice.ranked_servers(SERVICE, 0, 0.0)
+    return sorted((server.target for server in servers), key=lambda t: t.name)
+
+
+def target_in(placement: Placement) -> RegisteredTarget:
+    return targets_in(placement)[0]
 
 
 def speed_in(placement: Placement) -> ServerSpeed:
@@ -324,15 +329,14 @@
 
 
 def placement_with_slow_server() -> Placement:
-    registry = registry_of({"zone-a": 4})
-    placement = Placement("zone-a", registry, Random(1), lambda *_: None)
+    placement = placement_on(4)
     feed_with_slow_server(placement)
     return placement
 
 
 def feed_with_slow_server(placement: Placement) -> None:
     for _ in range(20):
-        for target in placement.choice._registry.of_service(SERVICE):
+        for target in targets_in(placement):
             is_slow = target is target_in(placement)
             feed(placement, target, 0.3 if is_slow else 0.05, 0.0)
 
