Keep the load reports of other hosts in a class of their own

server_choice.py chose servers and also replaced and expired the reports of other hosts. ReportedLoads does the latter now and says by how much a server's flows changed. An attribute of PlacementQueryRefusedError that nothing read is gone.

--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -17,6 +17,7 @@
     UNREACHABLE_ZONE_RANK,
     RankedServer,
 )
+from kingcuppulley.fabric.reported_loads import ReportedLoads
 from kingcuppulley.fabric.server_index import (
     MAXIMUM_TIE_BREAK_COST,
     ServerIndex,
@@ -29,7 +30,6 @@
 from kingcuppulley.fabric.service_shares import ServiceShares
 from kingcuppulley.fabric.slow_probes import SlowServerProbes
 
-LOAD_REPORT_VALIDITY_SECONDS = 0.5
 COLD_SERVER_MINIMUM_INTERVAL_SECONDS = 0.6
 # A server of an unreachable zone still gets a flow after this time, to detect whether
 # only the entry hosts of the zone have failed.
@@ -43,16 +43,6 @@
 LOAD_EVICTION_INTERVAL_SECONDS = 10.0
 
 
-class _ReportedLoads:
-    """Hold the open flows per server that another host reported, and until when."""
-
-    __slots__ = ("flows", "deadline")
-
-    def __init__(self) -> None:
-        self.flows: dict[int, int] = {}
-        self.deadline = 0.0
-
-
 class ServerChoice:
     """Hold the load of each backend server, and choose the best one for a flow."""
 
@@ -61,7 +51,7 @@
         self._registry = registry
         self._generator = generator
         self._loads: dict[int, ServerLoad] = {}
-        self._reports: dict[str, _ReportedLoads] = {}
+        self._reports = ReportedLoads(self._change_reported_flows)
         self._shares = ServiceShares(registry)
         # By service and share.
         self._indexes: dict[str, dict[int, ServerIndex]] = {}
@@ -129,13 +119,9 @@
     ) -> None:
         """Replace the open flows per server that another host reported.
 
-        A report counts for `LOAD_REPORT_VALIDITY_SECONDS`.
+        A report counts for a limited time: see `ReportedLoads`.
         """
-        report = self._reports.get(host)
-        if report is None:
-            report = self._reports[host] = _ReportedLoads()
-        report.deadline = now + LOAD_REPORT_VALIDITY_SECONDS
-        self._replace_report(report, dict(loads))
+        self._reports.update(host, dict(loads), now)
 
     def load(self, cookie: int) -> ServerLoad:
         """Return the load of a server."""
@@ -204,10 +190,7 @@
     def tick(self, now: float) -> None:
         """Expire reports and old samples, and evict what unregistered servers left."""
         self._speeds.tick(now)
-        for host, report in list(self._reports.items()):
-            if now >= report.deadline:
-                self._replace_report(report, {})
-                del self._reports[host]
+        self._reports.tick(now)
         if now >= self._eviction_deadline:
             self._eviction_deadline = now + LOAD_EVICTION_INTERVAL_SECONDS
             self._evict_loads()
@@ -388,13 +371,6 @@
             if load.total_flows == 0 and self._registry.by_cookie(cookie) is None:
                 del self._loads[cookie]
 
-    def _replace_report(self, report: _ReportedLoads, flows: dict[int, int]) -> None:
-        for cookie in report.flows.keys() | flows.keys():
-            difference = flows.get(cookie, 0) - report.flows.get(cookie, 0)
-            if difference:
-                self._change_reported_flows(cookie, difference)
-        report.flows = flows
-
     def _change_reported_flows(self, cookie: int, difference: int) -> None:
         load = self.load(cookie)
         load.reported_flows += difference
--- a/src/kingcuppulley/operators/placement_query.py
+++ b/src/kingcuppulley/operators/placement_query.py
@@ -35,7 +35,6 @@
     """Report that an entry host refused a query as malformed."""
 
     def __init__(self, status: int, fault: Fault) -> None:
-        self.status = status
         remedies = "; ".join(fault.remedies)
         super().__init__(
             f"the entry host answered with status {status}: {fault.fault}: {remedies}"
