--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -26,7 +26,7 @@
     PlaceFlow,
 )
 from kingcuppulley.errors import MalformedPacketError
-from kingcuppulley.fabric.flow_queue import FlowRequest
+from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.formats import FlowPacket, PacketFormat
 from kingcuppulley.fabric.placement import (
     LEAST_LOAD,
@@ -415,6 +415,7 @@
     ) -> None:
         if outcome is not PlacementOutcome.PLACED:
             level = min(request.priority, MAXIMUM_COUNTED_PRIORITY)
+            # By name: the value of QUEUED is `held`, the term of earlier counters.
             self._counts[f"flows_{outcome.name.lower()}_priority_{level}"] += 1
 
     def _forward(self, packet: bytes, header: FlowPacket, now: float) -> None:
