--- a/src/kingcuppulley/fabric/server_timing.py
+++ b/src/kingcuppulley/fabric/server_timing.py
@@ -44,7 +44,24 @@
 
 
 class TimedRequest:
-    """Hold a request that a server works for, to compare its duration with others."""
+    """Hold a request that a server works for, to compare its duration with others.
+
+    Attributes
+    ----------
+    started_at : float or None
+        When the server had a slot for the request; None before.
+    counted : float or None
+        Logarithm of the ratio that counts for the request already.
+    log_average : float
+        Logarithm of the average duration that `counted` is relative to.
+    overdue_count : int
+        How many of `OVERDUE_MULTIPLES` were reached.
+    is_established : bool
+        Whether the server has answered the opening packet of the flow.
+    expired_until : float or None
+        Until when the server may work for the request after its flow is no longer
+        counted; None while the flow is counted.
+    """
 
     __slots__ = (
         "target",
@@ -57,7 +74,7 @@
         "overdue_count",
         "is_open",
         "is_established",
-        "is_expired",
+        "expired_until",
     )
 
     def __init__(
@@ -72,15 +89,13 @@
         self.timing = timing
         self.route = route
         self.opened_at = now
-        # When the server had a slot for the request; None before.
         self.started_at = started_at
-        # The ratio that counts already, and the average that it is relative to.
         self.counted: float | None = None
         self.log_average = 0.0
         self.overdue_count = 0
         self.is_open = True
         self.is_established = False
-        self.is_expired = False
+        self.expired_until: float | None = None
 
     @property
     def has_waited(self) -> bool:
@@ -194,7 +209,7 @@
 
     def establish(self, request: TimedRequest) -> None:
         """Record that the server has answered, so that the request may get overdue."""
-        self._count_again(request)
+        self._free_expired_slot(request)
         if not request.is_established:
             request.is_established = True
             self._watch(request)
@@ -209,7 +224,14 @@
     def close(self, request: TimedRequest) -> None:
         """End the timing of a request that has ended."""
         request.is_open = False
-        self._count_again(request)
+        self._free_expired_slot(request)
+
+    def discard(self, request: TimedRequest) -> None:
+        """Stop timing a request whose end will not be reported.
+
+        It would otherwise become overdue, whenever its server answers.
+        """
+        request.is_open = False
 
     def expire(
         self, timing: ServerTiming, request: TimedRequest | None, now: float
@@ -218,14 +240,17 @@
 
         The server may still work for it, or its caller has given up.
         """
-        timing.expired.append(now + EXPIRED_RETENTION_SECONDS)
+        expired_until = now + EXPIRED_RETENTION_SECONDS
+        timing.expired.append(expired_until)
         if request is not None:
-            request.is_expired = True
-
-    def _count_again(self, request: TimedRequest) -> None:
-        if request.is_expired and request.timing.expired:
-            request.timing.expired.popleft()
-        request.is_expired = False
+            request.expired_until = expired_until
+
+    def _free_expired_slot(self, request: TimedRequest) -> None:
+        """Free the slot that a request was taken to occupy after its count expired."""
+        expired = request.timing.expired
+        if request.expired_until in expired:
+            expired.remove(request.expired_until)
+        request.expired_until = None
 
     def _forget_expired(self, timing: ServerTiming, now: float) -> None:
         if now < timing.expired[0]:
