Reset no flow by a packet that waited in a paused host, and explain the link's backlog

Change: after a stall of more than 0.15 s, and for 0.2 s after the next tick, a host refuses no new flow and ignores the refusals of coordinators. The explanation of a placement names the bytes that wait for the link, and says that an upload would be refused.

Result: tests of each.

--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -43,7 +43,10 @@
 from kingcuppulley.operators.routing import RoutingConfiguration, RoutingTable
 
 if TYPE_CHECKING:
-    from kingcuppulley.fabric.placement_explanation import PlacementExplanation
+    from kingcuppulley.fabric.placement_explanation import (
+        LinkState,
+        PlacementExplanation,
+    )
 
 SUBSCRIPTION_INTERVAL_SECONDS = 0.25
 FETCH_RETRY_INTERVAL_SECONDS = 0.15
@@ -175,9 +178,12 @@
         return LOWEST_PRIORITY if route is None else route.priority
 
     def explain_placement(
-        self, flow: bytes, route_key: bytes, now: float
+        self, flow: bytes, route_key: bytes, link: LinkState | None, now: float
     ) -> PlacementExplanation:
-        """Explain where a new flow would be placed now, without placing it."""
+        """Explain where a new flow would be placed now, without placing it.
+
+        `link` is None if the rate of the host's link is not known.
+        """
         # Imported when it is needed, because entry hosts start often and on small
         # machines.
         from kingcuppulley.fabric.placement_explanation import PlacementExplainer
@@ -189,6 +195,7 @@
             self._routing_table,
             self._coordinators,
             self._placement,
+            link,
         )
         return explainer.explain(flow, route_key, self._router.is_ready, now)
 
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -45,8 +45,13 @@
 ANSWER_TRAVEL_SECONDS = 0.03
 # Flows of lower priorities are counted with those of this one.
 MAXIMUM_COUNTED_PRIORITY = 3
-# Origin of a flow that its coordinator did not acknowledge: if no server is found for
-# the flow, no host or caller is notified.
+# A process whose last tick is longer ago was paused or has fallen behind.  It is
+# shorter than the time after which a caller sends its opening packet again.
+STALL_SECONDS = 0.15
+# How long after that packets may still be read that arrived before.
+LATE_PACKETS_SECONDS = 0.2
+# Origin of a flow that another host may have placed: if no server is found for the
+# flow, no host or caller is notified.
 NO_ORIGIN = ""
 
 
@@ -183,6 +188,8 @@
         self._flow_records: OrderedDict[bytes, _FlowRecord] = OrderedDict()
         # Flows whose answer may be complete, the latest acknowledgement last.
         self._answered_flows: OrderedDict[bytes, _FlowRecord] = OrderedDict()
+        self._ticked_at = float("inf")
+        self._late_until = 0.0
         self.is_ready = False
 
     def packet_from_fabric(self, packet: bytes, now: float) -> None:
@@ -259,6 +266,9 @@
 
     def tick(self, now: float) -> None:
         """Place flows that no coordinator acknowledged, and expire old flow records."""
+        if self._has_stalled(now):
+            self._late_until = now + LATE_PACKETS_SECONDS
+        self._ticked_at = now
         while self._pending_placements:
             pending = next(iter(self._pending_placements.values()))
             if now < pending.deadline:
@@ -281,6 +291,16 @@
             del self._flow_records[flow]
         self._placement.tick(now)
 
+    def _has_stalled(self, now: float) -> bool:
+        return now - self._ticked_at > STALL_SECONDS
+
+    def _may_be_late(self, now: float) -> bool:
+        """Return whether a packet may have waited while the process did not run.
+
+        Another host may have placed its flow, which then must not be reset.
+        """
+        return now < self._late_until or self._has_stalled(now)
+
     def _place_reclaimed(self, pending: _PendingPlacement, now: float) -> None:
         """Give a flow to the next coordinator, or place it here if that fails too.
 
@@ -323,9 +343,12 @@
             self._reset(header.flow)
             return
         self._counts["opens"] += 1
+        may_be_reset = not self._may_be_late(now)
         # Another host may have sent an earlier copy of a retransmitted packet on.
-        if not header.retransmission and not self._transport.may_open(
-            header, route.objective_seconds
+        if (
+            may_be_reset
+            and not header.retransmission
+            and not self._transport.may_open(header, route.objective_seconds)
         ):
             self._counts["egress_refused"] += 1
             self._log.record_step(header.flow, "refused", reason="link backlog")
@@ -341,13 +364,16 @@
             objective_ms,
             packet,
         )
-        request = self._build_request(message, header.route_key, self._address, now)
+        origin = self._address if may_be_reset else NO_ORIGIN
+        request = self._build_request(message, header.route_key, origin, now)
         coordinator = self._coordinator_of(request, now)
         if coordinator is None or coordinator == self._address:
             self._flow_records[header.flow] = _FlowRecord(self._address, now)
             self._place_flow(request, now)
             return
-        self._flow_records[header.flow] = _FlowRecord(coordinator, now)
+        self._flow_records[header.flow] = _FlowRecord(
+            coordinator, now, may_be_reset=may_be_reset
+        )
         self._pending_placements[header.flow] = _PendingPlacement(
             request, message, coordinator, now
         )
--- a/src/kingcuppulley/fabric/link_admission.py
+++ b/src/kingcuppulley/fabric/link_admission.py
@@ -32,6 +32,10 @@
         self.checked_bytes = 0
         self.check_at = now + IDLE_SECONDS
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether no packet came between two checks."""
+        return now >= self.check_at and self.received_bytes == self.checked_bytes
+
 
 class LinkAdmission:
     """Estimate how long the link is busy with open uploads.
@@ -62,15 +66,23 @@
         now: float,
     ) -> bool:
         """Return whether to accept a new flow, and record it if its route is bulk."""
-        if self._average_bytes.get(route_key, 0.0) < BULK_BYTES:
+        if not self._is_bulk(route_key):
             return True
-        backlog_bytes = queued_bytes + self._expected_bytes(now)
-        limit_seconds = objective_seconds * MAXIMUM_BACKLOG_SHARE
-        if backlog_bytes > self._bytes_per_second * limit_seconds:
+        if not self.has_room(route_key, objective_seconds, queued_bytes, now):
             return False
         self._add(flow, route_key, now)
         return True
 
+    def has_room(
+        self, route_key: bytes, objective_seconds: float, queued_bytes: int, now: float
+    ) -> bool:
+        """Return whether the link can carry a new flow in time; nothing is changed."""
+        if not self._is_bulk(route_key):
+            return True
+        backlog_bytes = queued_bytes + self._expected_bytes(now)
+        limit_seconds = objective_seconds * MAXIMUM_BACKLOG_SHARE
+        return backlog_bytes <= self._bytes_per_second * limit_seconds
+
     def record(self, flow: bytes, route_key: bytes, size: int, now: float) -> None:
         """Record a large packet of a request."""
         request = self._open_requests.get(flow)
@@ -93,11 +105,15 @@
         if len(averages) > MAXIMUM_ROUTES:
             averages.popitem(last=False)
 
+    def _is_bulk(self, route_key: bytes) -> bool:
+        return self._average_bytes.get(route_key, 0.0) >= BULK_BYTES
+
     def _expected_bytes(self, now: float) -> float:
         """Return what the open requests still have to send."""
-        self._expire(now)
         expected_bytes = 0.0
         for request in self._open_requests.values():
+            if request.is_idle(now):
+                continue
             average = self._average_bytes.get(request.route_key, 0.0)
             expected_bytes += max(0.0, average - request.received_bytes)
         return expected_bytes
@@ -116,7 +132,7 @@
             flow, request = next(iter(requests.items()))
             if now < request.check_at:
                 return
-            if request.received_bytes == request.checked_bytes:
+            if request.is_idle(now):
                 del requests[flow]
                 continue
             request.checked_bytes = request.received_bytes
--- a/src/kingcuppulley/fabric/placement_explanation.py
+++ b/src/kingcuppulley/fabric/placement_explanation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Protocol
 
 import msgspec
 
@@ -90,6 +91,8 @@
         Share of the service in the zone, of `share_count`.
     coordinator : str or None
         The host that places the flows of the share, or None if no host is known.
+    link_queued_bytes : int
+        Bytes that wait for the host's link; 0 if its rate is not known.
     servers : list of ExplainedServer
         The servers that the flow may use, in the order of the choice.
     """
@@ -106,10 +109,22 @@
     share_count: int = 0
     coordinator: str | None = None
     is_coordinator: bool = False
+    link_queued_bytes: int = 0
     queue: ExplainedQueue = ExplainedQueue()
     servers: list[ExplainedServer] = []
 
 
+class LinkState(Protocol):
+    """Say how busy the link of the host that explains is."""
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return how many bytes wait for the link."""
+
+    def has_room(self, route_key: bytes, objective_seconds: float) -> bool:
+        """Return whether a new flow of a route can be sent in time."""
+
+
 class PlacementExplainer:
     """Explain placements by what one entry host knows; nothing is changed."""
 
@@ -121,6 +136,7 @@
         routing_table: RoutingTable,
         coordinators: CoordinatorTable,
         placement: Placement,
+        link: LinkState | None = None,
     ) -> None:
         self._address = address
         self._zone = zone
@@ -128,6 +144,7 @@
         self._routing_table = routing_table
         self._coordinators = coordinators
         self._placement = placement
+        self._link = link
 
     def explain(
         self, flow: bytes, route_key: bytes, is_ready: bool, now: float
@@ -162,7 +179,9 @@
         queue = self._placement.queue_of(service)
         if queue is None:
             queue = FlowQueue()
-        if is_coordinator:
+        if self._link and not self._link.has_room(route.key, route.objective_seconds):
+            outcome, reason = ExpectedOutcome.REFUSED, "link backlog"
+        elif is_coordinator:
             request = self._build_request(flow, service, route, now)
             outcome, reason = self._decide(
                 request, queue.copy(), servers, contenders, now
@@ -183,6 +202,7 @@
             share_count=choice.shares.count(self._zone, service),
             coordinator=coordinator,
             is_coordinator=is_coordinator,
+            link_queued_bytes=self._link.queued_bytes if self._link else 0,
             queue=_explain_queue(queue, now),
             servers=[
                 _explain_server(server, server in contenders) for server in servers
--- a/src/kingcuppulley/fabric/server_timing.py
+++ b/src/kingcuppulley/fabric/server_timing.py
@@ -247,10 +247,10 @@
 
     def _free_expired_slot(self, request: TimedRequest) -> None:
         """Free the slot that a request was taken to occupy after its count expired."""
-        expired = request.timing.expired
-        if request.expired_until in expired:
-            expired.remove(request.expired_until)
+        expired_until = request.expired_until
         request.expired_until = None
+        if expired_until is not None and expired_until in request.timing.expired:
+            request.timing.expired.remove(expired_until)
 
     def _forget_expired(self, timing: ServerTiming, now: float) -> None:
         if now < timing.expired[0]:
--- a/src/kingcuppulley/seeded/egress_pacer.py
+++ b/src/kingcuppulley/seeded/egress_pacer.py
@@ -133,6 +133,12 @@
             self._time(),
         )
 
+    def has_room(self, route_key: bytes, objective_seconds: float) -> bool:
+        """Return what `may_open` would return for a route; nothing is changed."""
+        return not self._has_admission or self._admission.has_room(
+            route_key, objective_seconds, self._queue.queued_bytes, self._time()
+        )
+
     def charge(self, payload_bytes: int) -> None:
         """Charge a datagram that was sent over another socket of this host."""
         self._charge_and_prepay(payload_bytes + DATAGRAM_HEADERS_BYTES, self._time())
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -255,7 +255,7 @@
         answer = PlacementAnswer(
             self._packet_format,
             lambda flow, route_key: self._host.explain_placement(
-                flow, route_key, self._clock.now()
+                flow, route_key, self._pacer, self._clock.now()
             ),
         )
         answer.answer(request)
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -307,6 +307,34 @@
     assert len(host.sent.to_targets) == 1
 
 
+@pytest.mark.parametrize("seconds_after_resume", [0.0, 0.1])
+def test_an_opening_packet_that_waited_in_a_paused_host_is_not_reset(
+    seconds_after_resume,
+):
+    """Another host may have placed the flow when its packet was repeated."""
+    host = without_servers(Host(OWN))
+    host.router.tick(0.0)
+    resumed_at = 2.0
+    if seconds_after_resume:
+        host.router.tick(resumed_at)
+    host.packet("flow open 0", resumed_at + seconds_after_resume)
+    host.router.tick(resumed_at + 0.11)
+    assert not host.sent.to_callers
+    for seconds in (0.22, 0.33):
+        host.router.tick(resumed_at + seconds)
+    host.packet("other open 0", resumed_at + 0.34)
+    assert host.sent.to_callers
+
+
+def test_a_paused_host_does_not_refuse_an_upload_for_its_link():
+    host = Host(OWN)
+    host.sent.has_room = False
+    host.router.tick(0.0)
+    host.packet("flow open 0", 2.0)
+    assert not host.sent.to_callers
+    assert len(host.sent.to_targets) == 1
+
+
 def test_an_acknowledged_flow_is_not_reclaimed():
     host = host_with_other_coordinator()
     host.packet("flow open 0")
--- a/tests/cover/test_explain_placement.py
+++ b/tests/cover/test_explain_placement.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from types import SimpleNamespace
+
 import pytest
 from typer.testing import CliRunner
 
@@ -190,3 +192,19 @@
         result = explain_command(host)
     assert result.exit_code == 1
     assert "does not explain placements" in result.output
+
+
+def test_an_upload_that_the_link_cannot_carry_is_explained_as_refused():
+    """Otherwise the answer names servers for a flow that its host would reset."""
+    run = LoadRun(registry_of({"zone-a": 1}))
+    explainer = explainer_of(run)
+    link = explainer._link = SimpleNamespace(
+        queued_bytes=1000, has_room=lambda key, objective: False
+    )
+    explanation = explainer.explain(b"flow", ROUTE_KEY, True, 0.0)
+    assert explanation.outcome is ExpectedOutcome.REFUSED
+    assert explanation.reason == "link backlog"
+    assert explanation.link_queued_bytes == 1000
+    link.has_room = lambda key, objective: True
+    explanation = explainer.explain(b"flow", ROUTE_KEY, True, 0.0)
+    assert explanation.outcome is ExpectedOutcome.PLACED
--- a/tests/nocover/test_processes.py
+++ b/tests/nocover/test_processes.py
@@ -24,7 +24,7 @@
 
 ROOT = Path(__file__).parents[2]
 # This deployment has no entry host that starts from seeds.
-DOCUMENTED_ENTRY_HOST = "127.44.0.4:9464"
+DOCUMENTED_ENTRY_HOST = "127.31.119.2:9464"
 SERVICE = ServicePlan(
     name="desk",
     address="192.0.2.99",
