--- a/tests/cover/test_explain_placement.py
+++ b/tests/cover/test_explain_placement.py
@@ -8,7 +8,6 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
-
 from types import SimpleNamespace
 
 import pytest
