Keep a voter working after any failed write of its disk

Cause: the disk thread caught only StorageError. After a failed write the file is closed, and on a full disk closing may fail too; that OSError ended the thread, and from then on the host never voted, while its process and its metrics looked well. One full disk after another left no majority. A write that made no progress and reported no error occupied the thread for ever. A replica that could not record that its disk is outdated voted once its check ended.

Log lines mark the first failure and the next success.

--- a/src/kingcuppulley/composition.py
+++ b/src/kingcuppulley/composition.py
@@ -355,6 +355,7 @@
     def _tick(self) -> None:
         self._replica.tick(self._clock.now())
         self._metrics.gauges["failed_writes"] = self._replica.failed_writes
+        self._metrics.gauges["failed_rewrites"] = self._replica.failed_rewrites
         if self._replica.state is not self._last_state:
             self._last_state = self._replica.state
             log_message(
--- a/src/kingcuppulley/control/acceptor.py
+++ b/src/kingcuppulley/control/acceptor.py
@@ -17,11 +17,14 @@
     Promise,
 )
 from kingcuppulley.control.registers import ZERO_BALLOT, Ballot, Register
+from kingcuppulley.errors import StorageError
 
 # The journal is rewritten once it is larger than both the minimum and the factor times
-# its size after the last rewrite.
+# its size after the last rewrite or, before the first one, at the start.
 REWRITE_MINIMUM_BYTES = 1_000_000
 REWRITE_GROWTH_FACTOR = 2
+# Growth of the journal after a failed rewrite before the next one is tried.
+REWRITE_RETRY_GROWTH_BYTES = 100_000
 
 
 class BootRecord(msgspec.Struct, frozen=True, tag="boot"):
@@ -114,8 +117,8 @@
         self._may_vote = False
         for data in journal.read():
             self._apply(_DECODER.decode(data))
-        # Size after the last rewrite or, before the first one, at this start.
-        self._size_after_rewrite_bytes = journal.size_bytes
+        self._failed_rewrites = 0
+        self._next_rewrite_bytes = _rewrite_limit(journal.size_bytes)
         self._write([BootRecord(self._boot + 1, self._votes)])
 
     @staticmethod
@@ -138,6 +141,11 @@
         """Return whether the journal holds every vote that this replica has cast."""
         return self._may_vote
 
+    @property
+    def failed_rewrites(self) -> int:
+        """Return how many rewrites of the journal failed."""
+        return self._failed_rewrites
+
     @property
     def highest_counter(self) -> int:
         """Return the highest counter of the floor and of every promised ballot."""
@@ -250,10 +258,24 @@
         self._journal.append([_ENCODER.encode(record) for record in records])
         for record in records:
             self._apply(record)
-        growth_limit = REWRITE_GROWTH_FACTOR * self._size_after_rewrite_bytes
-        if self._journal.size_bytes > max(REWRITE_MINIMUM_BYTES, growth_limit):
+        if self._journal.size_bytes > self._next_rewrite_bytes:
+            self._rewrite()
+
+    def _rewrite(self) -> None:
+        """Rewrite the journal, or keep appending to the present one.
+
+        A rewrite needs room for two copies.  The records are durable without it, so a
+        disk with less room still votes.
+        """
+        try:
             self._journal.rewrite(_ENCODER.encode(r) for r in self._snapshot())
-            self._size_after_rewrite_bytes = self._journal.size_bytes
+        except StorageError:
+            self._failed_rewrites += 1
+            self._next_rewrite_bytes = (
+                self._journal.size_bytes + REWRITE_RETRY_GROWTH_BYTES
+            )
+        else:
+            self._next_rewrite_bytes = _rewrite_limit(self._journal.size_bytes)
 
     def _snapshot(self) -> Iterator[Record]:
         yield FloorRecord(self._floor)
@@ -293,3 +315,7 @@
 
     def _raise_promise(self, key: str, ballot: Ballot) -> None:
         self._promised[key] = max(self._promised.get(key, ZERO_BALLOT), ballot)
+
+
+def _rewrite_limit(size_bytes: int) -> int:
+    return max(REWRITE_MINIMUM_BYTES, REWRITE_GROWTH_FACTOR * size_bytes)
--- a/src/kingcuppulley/control/disk_thread.py
+++ b/src/kingcuppulley/control/disk_thread.py
@@ -26,7 +26,8 @@
 class DiskThread:
     """Write votes to a store one after another, and report each result.
 
-    `on_vote_written` is called on the main thread with the error, or None.
+    `on_vote_written` is called on the main thread with the error, or None.  No error of
+    a write ends the thread, because every later vote would then stay unanswered.
     """
 
     def __init__(
@@ -36,11 +37,25 @@
         self._main_thread = main_thread
         self._metrics = metrics
         self._votes: queue.SimpleQueue[Vote] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
+        self._write_started_at: float | None = None
         self.on_vote_written: Callable[[StorageError | None], None] = _discard_result
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the thread has started and not ended."""
+        return self._thread.is_alive()
+
     def start(self) -> None:
         """Start the thread that writes votes."""
-        threading.Thread(target=self._run, name="disk", daemon=True).start()
+        self._thread.start()
+
+    def update_gauges(self, gauges: dict[str, float]) -> None:
+        """Set the gauge of the time in seconds for which a write is in progress."""
+        started_at = self._write_started_at
+        gauges["vote_write_pending_seconds"] = (
+            time.monotonic() - started_at if started_at is not None else 0.0
+        )
 
     def write(self, vote: Vote) -> None:
         """Queue a vote to be written; `on_vote_written` receives the result."""
@@ -49,17 +64,27 @@
     def _run(self) -> None:
         while True:
             vote = self._votes.get()
-            failure: StorageError | None = None
-            started_at = time.monotonic()
-            try:
-                self._store.write(vote)
-            except StorageError as error:
-                failure = error
+            started_at = self._write_started_at = time.monotonic()
+            failure = self._write(vote)
             seconds = time.monotonic() - started_at
+            self._write_started_at = None
             self._main_thread.call_soon_threadsafe(
                 self._report_result, failure, seconds
             )
 
+    def _write(self, vote: Vote) -> StorageError | None:
+        try:
+            self._store.write(vote)
+        except StorageError as error:
+            return error
+        except Exception as error:
+            failure = StorageError(
+                "vote", f"unexpected {type(error).__name__}: {error}"
+            )
+            failure.__cause__ = error
+            return failure
+        return None
+
     def _report_result(self, failure: StorageError | None, seconds: float) -> None:
         self._metrics.observe_seconds("vote_write", seconds)
         self.on_vote_written(failure)
--- a/src/kingcuppulley/control/ensemble_host.py
+++ b/src/kingcuppulley/control/ensemble_host.py
@@ -217,8 +217,9 @@
             self._transport.send(host, ChosenState(current))
 
     def tick(self, now: float) -> None:
-        """Send hellos, replace failed voters and advance the proposer."""
+        """Send hellos, replace failed voters, and advance voter and proposer."""
         self._now = now
+        self._voter.tick(now)
         if now >= self._hello_deadline:
             self._hello_deadline = now + HELLO_INTERVAL_SECONDS
             self._send_hello(now)
@@ -229,7 +230,7 @@
     def vote_written(self, succeeded: bool, now: float) -> None:
         """Process the result of writing this host's vote."""
         self._now = now
-        self._voter.vote_written(succeeded)
+        self._voter.vote_written(succeeded, now)
 
     def _handle_chosen_state(self, state: RoutingState) -> None:
         self._voter.learn(ChosenVoters(state.revision, state.voters))
--- a/src/kingcuppulley/control/journal.py
+++ b/src/kingcuppulley/control/journal.py
@@ -9,7 +9,11 @@
 from pathlib import Path
 from typing import Protocol
 
-from kingcuppulley.control.folders import sync_folder
+from kingcuppulley.control.folders import (
+    close_after_failure,
+    require_progress,
+    sync_folder,
+)
 from kingcuppulley.errors import CorruptedRecordError, StorageError
 
 # Length and CRC-32 of a record.
@@ -102,12 +106,7 @@
         data = b"".join(_frame(record) for record in records)
         new_path = self._folder / _NEW_JOURNAL
         try:
-            descriptor = os.open(new_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-            try:
-                _write_all(descriptor, data)
-                os.fsync(descriptor)
-            finally:
-                os.close(descriptor)
+            _write_new_file(new_path, data)
             os.replace(new_path, self._path)
             # From here on the open file is the one that was replaced; the next append
             # opens the new one and syncs the folder again.
@@ -120,10 +119,10 @@
             raise StorageError(str(self._path), reason) from error
 
     def close(self) -> None:
-        """Close the file; the next append opens it again."""
-        if self._file is not None:
-            os.close(self._file)
-            self._file = None
+        """Close the file, whose records are durable; the next append opens it again."""
+        descriptor, self._file = self._file, None
+        if descriptor is not None:
+            close_after_failure(descriptor)
 
     def _record_end(self, data: bytes, offset: int) -> int | None:
         if len(data) - offset < _HEADER.size or not data[offset:].strip(b"\0"):
@@ -170,6 +169,23 @@
             raise StorageError(str(self._path), reason) from error
 
 
+def _write_new_file(path: Path, data: bytes) -> None:
+    """Write and sync a new file, or remove it and raise `OSError`.
+
+    A partial file would occupy space that the disk may lack.
+    """
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        try:
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+    except OSError:
+        path.unlink(missing_ok=True)
+        raise
+
+
 def _frame(record: bytes) -> bytes:
     return _HEADER.pack(len(record), zlib.crc32(record)) + record
 
@@ -177,4 +193,4 @@
 def _write_all(descriptor: int, data: bytes) -> None:
     remaining = memoryview(data)
     while remaining:
-        remaining = remaining[os.write(descriptor, remaining) :]
+        remaining = remaining[require_progress(os.write(descriptor, remaining)) :]
--- a/src/kingcuppulley/control/replica.py
+++ b/src/kingcuppulley/control/replica.py
@@ -111,6 +111,11 @@
         """Return how many messages were not processed because the disk failed."""
         return self._failed_writes
 
+    @property
+    def failed_rewrites(self) -> int:
+        """Return how many rewrites of the journal failed."""
+        return self._acceptor.failed_rewrites
+
     def change(
         self,
         change: Change,
@@ -233,8 +238,10 @@
             return
         recorded = reply.recorded
         if recorded.boot > reply.boot or recorded.votes > self._acceptor.votes:
-            self._acceptor.stop_voting()
+            # The state changes even if the disk is full: a replica with an outdated
+            # disk must not vote once the check ends.
             self._state = ReplicaState.RECOVERING
+            self._acceptor.stop_voting()
             return
         self._hello_replies.add(host)
         if len(self._hello_replies) == len(self._peers):
--- a/src/kingcuppulley/control/vote_store.py
+++ b/src/kingcuppulley/control/vote_store.py
@@ -10,7 +10,11 @@
 
 import msgspec
 
-from kingcuppulley.control.folders import sync_folder
+from kingcuppulley.control.folders import (
+    close_after_failure,
+    require_progress,
+    sync_folder,
+)
 from kingcuppulley.control.state import Vote
 from kingcuppulley.errors import StorageError
 
@@ -101,7 +105,7 @@
         # write therefore opens the file again.
         descriptor = self._descriptors.pop(slot, None)
         if descriptor is not None:
-            os.close(descriptor)
+            close_after_failure(descriptor)
 
 
 def _checksum(generation: int, payload: bytes) -> int:
@@ -112,5 +116,4 @@
     view = memoryview(data)
     offset = 0
     while offset < len(view):
-        written_bytes = os.pwrite(descriptor, view[offset:], offset)
-        offset += written_bytes
+        offset += require_progress(os.pwrite(descriptor, view[offset:], offset))
--- a/src/kingcuppulley/seeded/control.py
+++ b/src/kingcuppulley/seeded/control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -27,6 +28,7 @@
 TICK_INTERVAL_SECONDS = 0.02
 # A leaving host still votes for this long, so that the others can replace it.
 LEAVE_DURATION_SECONDS = 1.5
+INITIAL_VOTE_RETRY_SECONDS = 0.5
 
 
 class SeededControlDaemon:
@@ -51,17 +53,18 @@
         self.metrics = Metrics()
         self.log = EventLog(settings.name, self.metrics, self._clock.now)
         instance = os.urandom(8).hex()
-        store = FileVoteStore(Path(settings.data_folder))
-        vote = store.read()
+        self._store = FileVoteStore(Path(settings.data_folder))
+        vote = self._store.read()
+        self._unwritten_initial_vote: Vote | None = None
         if vote is None:
-            vote = initial_vote(
+            vote = self._unwritten_initial_vote = initial_vote(
                 str(settings.peer),
                 settings.seeds,
                 f"disk:{instance}",
                 settings.is_first_start,
             )
-            _write_initial_vote(store, vote, self.log)
-        self._disk = DiskThread(store, loop, self.metrics)
+        self._has_failed_write = False
+        self._disk = DiskThread(self._store, loop, self.metrics)
         self._disk.on_vote_written = self._handle_vote_result
         self._link = DatagramLink(ControlMessage, self._receive_message, self.metrics)
         self._host = SeededControlHost(
@@ -87,8 +90,10 @@
         self._ticker = Ticker(loop, TICK_INTERVAL_SECONDS, self._tick)
 
     async def start(self) -> None:
-        """Open every socket and start to vote."""
+        """Open every socket and start to vote, once the disk has a vote."""
         settings = self._settings
+        if self._unwritten_initial_vote is not None:
+            await self._write_initial_vote(self._unwritten_initial_vote)
         self._disk.start()
         self._link.open(self._loop, settings.peer.host, settings.peer.port)
         if settings.control is not None:
@@ -97,7 +102,7 @@
                 self._loop, control.host, control.port, self._handle_request
             )
         await serve_metrics(
-            self._loop, settings.metrics, self.metrics, self._host.update_gauges
+            self._loop, settings.metrics, self.metrics, self._update_gauges
         )
         self._ticker.start()
         self.log.event_unthrottled(
@@ -129,22 +134,49 @@
     def _receive_message(self, address: str, message: object) -> None:
         self._host.receive(address, message)
 
+    async def _write_initial_vote(self, vote: Vote) -> None:
+        # The disk's identifier must be durable before any control host counts its vote,
+        # so the host opens no socket until it is written.
+        while True:
+            try:
+                self._store.write(vote)
+                return
+            except StorageError as error:
+                self.metrics.count("votes_not_written")
+                self._log_failed_write(error)
+            await asyncio.sleep(INITIAL_VOTE_RETRY_SECONDS)
+
     def _handle_vote_result(self, failure: StorageError | None) -> None:
         if failure is not None:
             self.metrics.count("votes_not_written")
-            self.log.event("vote not written", reason=str(failure))
+            self._log_failed_write(failure)
+        elif self._has_failed_write:
+            self._has_failed_write = False
+            self.log.event_unthrottled("votes are written again")
         self._host.ensemble.vote_written(failure is None, self._clock.now())
 
+    def _log_failed_write(self, failure: StorageError) -> None:
+        # Later failures until the next success are counted only.
+        if self._has_failed_write:
+            return
+        self._has_failed_write = True
+        is_expected = isinstance(failure.__cause__, OSError)
+        self.log.event_unthrottled(
+            "vote not written",
+            reason=str(failure),
+            traceback=""
+            if is_expected
+            else "".join(traceback.format_exception(failure)),
+        )
+
+    def _update_gauges(self, gauges: dict[str, float]) -> None:
+        self._host.update_gauges(gauges)
+        self._disk.update_gauges(gauges)
+
     def _tick(self) -> None:
+        if not self._disk.is_running:
+            # Without its disk thread this host would never vote again.
+            self.log.event_unthrottled("disk thread ended")
+            raise SystemExit(1)
         self._host.tick(self._clock.now())
         self.log.flush()
-
-
-def _write_initial_vote(store: FileVoteStore, vote: Vote, log: EventLog) -> None:
-    # The disk's identifier must be durable before any control host counts its vote, so
-    # the process does not start if it cannot be written.
-    try:
-        store.write(vote)
-    except StorageError as error:
-        log.event_unthrottled("first vote not written", reason=str(error))
-        raise
--- a/tests/cover/test_control_hosts.py
+++ b/tests/cover/test_control_hosts.py
@@ -251,3 +251,22 @@
     assert len(cluster.answers) == 1
     cluster.tick(2 * CHANGE_TIMEOUT_SECONDS)
     assert cluster.failures == []
+
+
+def test_a_host_with_an_outdated_and_full_disk_does_not_vote():
+    """A failed write of the finding must not let the host vote after its check."""
+    cluster = started_cluster()
+    outdated = cluster.journals["control-2"].copy()
+    cluster.network.cut(["control-3"], ["control-1", "control-2"])
+    cluster.submit_and_wait("control-1", 0)
+    cluster.crash("control-2")
+    cluster.network.heal()
+    cluster.journals["control-2"] = outdated
+    cluster.start("control-2")
+    outdated.is_full = True
+    cluster.run(5.0)
+    assert cluster.replicas["control-2"].state is ReplicaState.RECOVERING
+    outdated.is_full = False
+    cluster.run(5.0)
+    assert cluster.replicas["control-2"].state is ReplicaState.VOTING
+    assert cluster.version("control-2") == 1
--- a/tests/ensemble_cluster.py
+++ b/tests/ensemble_cluster.py
@@ -32,6 +32,15 @@
     def write(self, vote: Vote) -> None:
         self.pending_vote = vote
 
+    def complete_write(self) -> bool | None:
+        """End a write in progress; return whether it succeeded, or None."""
+        if self.pending_vote is None or self.is_stalled:
+            return None
+        vote, self.pending_vote = self.pending_vote, None
+        if not self.is_full:
+            self.vote = vote
+        return not self.is_full
+
 
 class FakeTransport:
     """Forward a host's messages to the fake network."""
@@ -188,8 +197,5 @@
     def _complete_writes(self) -> None:
         for host, ensemble_host in list(self.running.items()):
             disk = self.disks[host]
-            while disk.pending_vote is not None and not disk.is_stalled:
-                vote, disk.pending_vote = disk.pending_vote, None
-                if not disk.is_full:
-                    disk.vote = vote
-                ensemble_host.vote_written(not disk.is_full, self.now)
+            while (succeeded := disk.complete_write()) is not None:
+                ensemble_host.vote_written(succeeded, self.now)
