Count requests on flows that are long open or opened elsewhere

Hypothesis: under a burst on long flows, servers answer late and reject requests because part of their requests is not counted. Coordinators counted 8 to 11 requests where a server held about 20, and placed new flows there.

Change: a request on a flow without a record is adopted: the entry host records it and reports it, with its server and route, to the coordinator of that server, which counts it like any other. Records expire a time after the last request instead of after the opening packet. Earlier builds ignore the new fields of the message.

--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -161,11 +161,15 @@
     """Report that a flow's caller has received an answer from its backend server.
 
     `answer_seconds` is set if the flow pauses now: the time from its request to the end
-    of the answer.  Without it, the server works on a request of the flow.
+    of the answer.  Without it, the server works on a request of the flow; `cookie` and
+    `route` then name its server and its route, for a receiver that does not know the
+    flow.  They are 0 and empty in messages of earlier builds.
     """
 
     flow: bytes
     answer_seconds: float | None = None
+    cookie: int = 0
+    route: bytes = b""
 
 
 class FlowEnded(msgspec.Struct, frozen=True, array_like=True, tag="fe"):
--- a/src/kingcuppulley/experiments/seeded_capacity.py
+++ b/src/kingcuppulley/experiments/seeded_capacity.py
@@ -158,7 +158,7 @@
         datagram_bytes(message)
         for message in (
             FlowAcknowledged(flow_id),
-            FlowEstablished(flow_id),
+            FlowEstablished(flow_id, cookie=2**32 - 1, route=bytes(6)),
             FlowEnded(flow_id, True),
         )
     )
--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -118,6 +118,10 @@
 
     Attributes
     ----------
+    recorded_at : float
+        When the flow was opened here.
+    last_active_at : float
+        When the caller last sent a request or acknowledged part of an answer.
     may_be_reset : bool
         Whether no other host may have placed the flow.
     is_reported_established : bool
@@ -133,6 +137,7 @@
     __slots__ = (
         "placed_by",
         "recorded_at",
+        "last_active_at",
         "may_be_reset",
         "is_reported_established",
         "is_answer_reported",
@@ -145,6 +150,7 @@
     ) -> None:
         self.placed_by = placed_by
         self.recorded_at = now
+        self.last_active_at = now
         self.may_be_reset = may_be_reset
         self.is_reported_established = False
         self.is_answer_reported = False
@@ -249,7 +255,8 @@
     def flow_established(self, message: FlowEstablished, now: float) -> None:
         """Record that a server works for a flow placed here, or has answered it."""
         if message.answer_seconds is None:
-            self._placement.flow_established(message.flow, now)
+            target = self._registry.by_cookie(message.cookie)
+            self._placement.flow_established(message.flow, now, target, message.route)
         else:
             self._placement.flow_answered(message.flow, message.answer_seconds, now)
 
@@ -286,7 +293,7 @@
         self._report_answered(now)
         while self._flow_records:
             flow, record = next(iter(self._flow_records.items()))
-            if now - record.recorded_at < FLOW_RECORD_RETENTION_SECONDS:
+            if now - record.last_active_at < FLOW_RECORD_RETENTION_SECONDS:
                 break
             del self._flow_records[flow]
         self._placement.tick(now)
@@ -499,12 +506,16 @@
         """Follow the requests and answers of a flow by its caller's packets."""
         record = self._flow_records.get(header.flow)
         if record is None:
-            return
+            record = self._adopt_flow(header, now)
+            if record is None:
+                return
+        record.last_active_at = now
+        self._flow_records.move_to_end(header.flow)
         is_new_request = header.has_data and record.request_at is None
         if is_new_request:
             record.request_at = now
         if is_new_request or not record.is_answer_reported:
-            self._report_established(header.flow, record, now)
+            self._report_established(header, record, now)
         if header.has_data:
             self._answered_flows.pop(header.flow, None)
         elif record.request_at is not None:
@@ -513,11 +524,35 @@
             self._answered_flows[header.flow] = record
             self._answered_flows.move_to_end(header.flow)
 
-    def _report_established(self, flow: bytes, record: _FlowRecord, now: float) -> None:
+    def _adopt_flow(self, header: FlowPacket, now: float) -> _FlowRecord | None:
+        """Record a flow whose request arrives here, if its opening is not on record.
+
+        The flow was idle for longer than flows are recorded, or another host or an
+        earlier process received its opening packet.  Its requests occupy its server as
+        much as those of other flows, so the coordinator of the server counts them.
+        """
+        target = self._registry.by_cookie(header.cookie)
+        if target is None or not header.has_data:
+            return None
+        share = self._placement.choice.shares.share_of_server(target)
+        coordinator = self._coordinators.coordinator(
+            target.zone, target.service, now, share
+        )
+        self._counts["flows_adopted"] += 1
+        record = _FlowRecord(coordinator or self._address, now, may_be_reset=False)
+        self._flow_records[header.flow] = record
+        return record
+
+    def _report_established(
+        self, header: FlowPacket, record: _FlowRecord, now: float
+    ) -> None:
         if record.is_reported_established:
             return
         record.is_reported_established = True
-        self._report(record, FlowEstablished(flow), now)
+        message = FlowEstablished(
+            header.flow, cookie=header.cookie, route=header.route_key
+        )
+        self._report(record, message, now)
 
     def _report_answered(self, now: float) -> None:
         """Report the flows that pause after an answer."""
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -72,6 +72,7 @@
     __slots__ = (
         "target",
         "placed_at",
+        "last_active_at",
         "is_counted",
         "count_deadline",
         "is_duration_recorded",
@@ -85,6 +86,7 @@
         self.route = route
         self.timed_request: TimedRequest | None = None
         self.placed_at = now
+        self.last_active_at = now
         self.is_counted = True
         self.count_deadline = 0.0
         self.is_duration_recorded = False
@@ -162,11 +164,24 @@
             return self._place_retransmission(placed, request, now)
         return self._place_new_flow(request, now)
 
-    def flow_established(self, flow: bytes, now: float) -> None:
-        """Count a flow for longer, or again, because a server has answered it."""
+    def flow_established(
+        self,
+        flow: bytes,
+        now: float,
+        target: RegisteredTarget | None = None,
+        route: bytes = b"",
+    ) -> None:
+        """Count a flow for longer, or again, because a server has answered it.
+
+        A flow that is not known is recorded as one of `route` that is open on `target`.
+        """
         placed = self._flows.get(flow)
         if placed is None:
-            return
+            if target is None:
+                return
+            placed = self._record(flow, target, route, now)
+            placed.is_counted = False
+        placed.last_active_at = now
         if not placed.is_counted:
             placed.is_counted = True
             if placed.timed_request is None and placed.is_duration_recorded:
@@ -185,6 +200,7 @@
         placed = self._flows.get(flow)
         if placed is None:
             return
+        placed.last_active_at = now
         if placed.timed_request is not None and placed.timed_request.has_waited:
             # `seconds` has another start than the time that it waited.
             self._finish_request(placed, None, now)
@@ -215,14 +231,23 @@
         while self._retention_deadlines and self._retention_deadlines[0][0] <= now:
             _, flow, placed = self._retention_deadlines.popleft()
             if self._flows.get(flow) is placed:
-                del self._flows[flow]
-                if placed.timed_request is not None:
-                    self._choice.speeds.discard(placed.timed_request)
+                self._retain_or_evict(flow, placed, now)
         self._choice.tick(now)
         for service in services | self._queues.keys():
             self._release_queued(service, now)
             self._drop_unplaceable(service, now)
 
+    def _retain_or_evict(self, flow: bytes, placed: _PlacedFlow, now: float) -> None:
+        """Evict a flow without recent requests; the others stay for as long again."""
+        if now < placed.last_active_at + PLACEMENT_RETENTION_SECONDS:
+            self._retention_deadlines.append(
+                (now + PLACEMENT_RETENTION_SECONDS, flow, placed)
+            )
+            return
+        del self._flows[flow]
+        if placed.timed_request is not None:
+            self._choice.speeds.discard(placed.timed_request)
+
     def _start_request(self, placed: _PlacedFlow, now: float) -> None:
         placed.timed_request = self._choice.start_request(
             placed.target, placed.route, now
@@ -296,17 +321,22 @@
     def _place(
         self, request: FlowRequest, target: RegisteredTarget, now: float
     ) -> PlacementDecision:
-        placed = _PlacedFlow(target, request.route, now)
-        self._flows[request.flow] = placed
-        self._retention_deadlines.append(
-            (now + PLACEMENT_RETENTION_SECONDS, request.flow, placed)
-        )
+        placed = self._record(request.flow, target, request.route, now)
         load = self._choice.load(target.cookie).total_flows
         if not request.retransmission:
             self._start_request(placed, now)
         self._count(placed, target, now)
         return PlacementDecision(PlacementOutcome.PLACED, target, LEAST_LOAD, load)
 
+    def _record(
+        self, flow: bytes, target: RegisteredTarget, route: bytes, now: float
+    ) -> _PlacedFlow:
+        placed = self._flows[flow] = _PlacedFlow(target, route, now)
+        self._retention_deadlines.append(
+            (now + PLACEMENT_RETENTION_SECONDS, flow, placed)
+        )
+        return placed
+
     def _release_queued(self, service: str, now: float) -> None:
         queue = self._queue_of(service)
         while (request := queue.first(now)) is not None:
--- a/tests/cover/test_cookie_router.py
+++ b/tests/cover/test_cookie_router.py
@@ -132,6 +132,13 @@
         host_infos = [EntryHostInfo(name, "zone-a", False) for name in hosts]
         self.coordinators.update(host_infos, 0.0)
         self.metrics = Metrics()
+        self.build_router()
+        self.update_registry(
+            heartbeat("i-1", host="10.0.0.1"), heartbeat("i-2", host="10.0.0.2")
+        )
+
+    def build_router(self) -> None:
+        """Start with a new placement and router, which use the registry."""
         self.placement = Placement(
             "zone-a",
             self.registry,
@@ -151,9 +158,6 @@
             self.sent,
         )
         self.router.is_ready = True
-        self.update_registry(
-            heartbeat("i-1", host="10.0.0.1"), heartbeat("i-2", host="10.0.0.2")
-        )
 
     def update_registry(self, *servers, change_number=1):
         self.registry.update("control", "instance-1", change_number, list(servers), 0.0)
@@ -434,10 +438,11 @@
     host.packet("flow open 0")
     for number in range(3):
         host.packet(f"flow data {host.cookie('i-1')}", 0.01 + number / 100)
+    report = FlowEstablished(b"flow", None, host.cookie("i-1"), SERVICE_KEY)
     reports = [
-        sent for sent in host.sent.to_hosts if sent == (OTHER, FlowEstablished(b"flow"))
+        sent for sent in host.sent.to_hosts if isinstance(sent[1], FlowEstablished)
     ]
-    assert len(reports) == 1
+    assert reports == [(OTHER, report)]
 
 
 def test_a_retransmitted_opening_packet_does_not_count_as_established():
