Know the backend servers again at once after a loss of power

Hypothesis: after a loss of power that stops every host, requests on open flows are lost until their server sends its next heartbeat, although their packets name the server.

Change: a control host stores the servers that it hears of and reports them after a restart as draining until their next heartbeat. Packets of open flows are forwarded at once; new flows go only to servers that have reported. The file is written on the disk thread, once a second at most and only if the servers changed; failures are counted, reported and tried again.

--- a/src/kingcuppulley/backend_servers/heartbeat_table.py
+++ b/src/kingcuppulley/backend_servers/heartbeat_table.py
@@ -6,6 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+import msgspec
+
 from kingcuppulley.backend_servers.change_log import (
     ChangeLog,
     HeartbeatChanges,
@@ -15,6 +19,8 @@
 
 HEARTBEAT_TIMEOUT_INTERVALS = 3.5
 HEARTBEAT_RETENTION_SECONDS = 90.0
+# Lower than any that a server sends.
+RESTORED_SEQUENCE = -1
 
 
 class HeartbeatTable:
@@ -48,6 +54,29 @@
         self._log.record_change(heartbeat, now)
         return True
 
+    def restore(self, heartbeats: Iterable[Heartbeat], now: float) -> None:
+        """Add servers that an earlier process knew, until their first heartbeat.
+
+        They may have become cold or begun to leave since, so they get no new flows, and
+        any heartbeat is newer than what is restored.
+        """
+        for heartbeat in heartbeats:
+            restored = msgspec.structs.replace(
+                heartbeat,
+                state=ServingState.DRAINING,
+                sequence=RESTORED_SEQUENCE,
+                cold_remaining_seconds=0.0,
+            )
+            self._log.record_change(restored, now)
+
+    def known_servers(self) -> list[Heartbeat]:
+        """Return the last heartbeats of the servers that may have open flows."""
+        return [
+            entry.heartbeat
+            for entry in self._log.entries()
+            if entry.state in (ServingState.READY, ServingState.DRAINING)
+        ]
+
     def deregister(self, name: str, now: float) -> bool:
         """Mark a backend server as gone and return whether that is a change."""
         entry = self._log.get(name)
--- a/src/kingcuppulley/control/disk_thread.py
+++ b/src/kingcuppulley/control/disk_thread.py
@@ -8,11 +8,15 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from kingcuppulley.backend_servers.heartbeats import Heartbeat
+from kingcuppulley.backend_servers.server_list_file import ServerListFile
 from kingcuppulley.control.state import Vote
 from kingcuppulley.control.vote_store import VoteStore
 from kingcuppulley.errors import StorageError
 from kingcuppulley.internal.counters import Metrics
 
+ServerList = list[Heartbeat]
+
 
 class MainThread(Protocol):
     """Schedule calls on the main thread, as an asyncio event loop does."""
@@ -24,22 +28,28 @@
 
 
 class DiskThread:
-    """Write votes to a store one after another, and report each result.
+    """Write votes and lists of servers one after another, and report votes' results.
 
     `on_vote_written` is called on the main thread with the error, or None.  No error of
     a write ends the thread, because every later vote would then stay unanswered.
     """
 
     def __init__(
-        self, store: VoteStore, main_thread: MainThread, metrics: Metrics
+        self,
+        store: VoteStore,
+        main_thread: MainThread,
+        metrics: Metrics,
+        server_list: ServerListFile | None = None,
     ) -> None:
         self._store = store
         self._main_thread = main_thread
         self._metrics = metrics
-        self._votes: queue.SimpleQueue[Vote] = queue.SimpleQueue()
+        self._server_list = server_list
+        self._writes: queue.SimpleQueue[Vote | ServerList] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
         self._write_started_at: float | None = None
         self.on_vote_written: Callable[[StorageError | None], None] = _discard_result
+        self.on_servers_not_written: Callable[[], None] = lambda: None
 
     @property
     def is_running(self) -> bool:
@@ -59,19 +69,34 @@
 
     def write(self, vote: Vote) -> None:
         """Queue a vote to be written; `on_vote_written` receives the result."""
-        self._votes.put(vote)
+        self._writes.put(vote)
+
+    def write_servers(self, servers: ServerList) -> None:
+        """Queue a list of servers; `on_servers_not_written` is called if that fails."""
+        self._writes.put(servers)
 
     def _run(self) -> None:
         while True:
-            vote = self._votes.get()
+            item = self._writes.get()
             started_at = self._write_started_at = time.monotonic()
-            failure = self._write(vote)
+            if not isinstance(item, Vote):
+                self._store_servers(item)
+                self._write_started_at = None
+                continue
+            failure = self._write(item)
             seconds = time.monotonic() - started_at
             self._write_started_at = None
             self._main_thread.call_soon_threadsafe(
                 self._report_result, failure, seconds
             )
 
+    def _store_servers(self, servers: ServerList) -> None:
+        assert self._server_list is not None
+        try:
+            self._server_list.write(servers)
+        except Exception:
+            self._main_thread.call_soon_threadsafe(self._report_unwritten_servers)
+
     def _write(self, vote: Vote) -> StorageError | None:
         try:
             self._store.write(vote)
@@ -85,6 +110,10 @@
             return failure
         return None
 
+    def _report_unwritten_servers(self) -> None:
+        self._metrics.count("server_lists_not_written")
+        self.on_servers_not_written()
+
     def _report_result(self, failure: StorageError | None, seconds: float) -> None:
         self._metrics.observe_seconds("vote_write", seconds)
         self.on_vote_written(failure)
--- a/src/kingcuppulley/control/folders.py
+++ b/src/kingcuppulley/control/folders.py
@@ -36,3 +36,27 @@
         os.close(descriptor)
     except OSError:
         return
+
+
+def write_all(descriptor: int, data: bytes) -> None:
+    """Write all bytes at the present position, or raise `OSError`."""
+    remaining = memoryview(data)
+    while remaining:
+        remaining = remaining[require_progress(os.write(descriptor, remaining)) :]
+
+
+def write_new_file(path: Path, data: bytes) -> None:
+    """Write and sync a new file, or remove it and raise `OSError`.
+
+    A partial file would occupy space that the disk may lack.
+    """
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        try:
+            write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+    except OSError:
+        path.unlink(missing_ok=True)
+        raise
--- a/src/kingcuppulley/control/journal.py
+++ b/src/kingcuppulley/control/journal.py
@@ -11,8 +11,9 @@
 
 from kingcuppulley.control.folders import (
     close_after_failure,
-    require_progress,
     sync_folder,
+    write_all,
+    write_new_file,
 )
 from kingcuppulley.errors import CorruptedRecordError, StorageError
 
@@ -93,7 +94,7 @@
             self._has_failed_tail = False
         try:
             descriptor = self._open()
-            _write_all(descriptor, data)
+            write_all(descriptor, data)
             os.fsync(descriptor)
         except OSError as error:
             self._discard_failed_append()
@@ -106,7 +107,7 @@
         data = b"".join(_frame(record) for record in records)
         new_path = self._folder / _NEW_JOURNAL
         try:
-            _write_new_file(new_path, data)
+            write_new_file(new_path, data)
             os.replace(new_path, self._path)
             # From here on the open file is the one that was replaced; the next append
             # opens the new one and syncs the folder again.
@@ -169,28 +170,5 @@
             raise StorageError(str(self._path), reason) from error
 
 
-def _write_new_file(path: Path, data: bytes) -> None:
-    """Write and sync a new file, or remove it and raise `OSError`.
-
-    A partial file would occupy space that the disk may lack.
-    """
-    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-    try:
-        try:
-            _write_all(descriptor, data)
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-    except OSError:
-        path.unlink(missing_ok=True)
-        raise
-
-
 def _frame(record: bytes) -> bytes:
     return _HEADER.pack(len(record), zlib.crc32(record)) + record
-
-
-def _write_all(descriptor: int, data: bytes) -> None:
-    remaining = memoryview(data)
-    while remaining:
-        remaining = remaining[require_progress(os.write(descriptor, remaining)) :]
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -56,9 +56,15 @@
 HEARTBEAT_CHECK_INTERVAL_SECONDS = 0.2
 # In this many heartbeat intervals after its start, a control host receives a heartbeat
 # from every backend server that sends heartbeats to it.
+# Pause between writes of the list of servers, which a release changes once a second.
+SERVER_LIST_INTERVAL_SECONDS = 1.0
 DISCOVERY_HEARTBEAT_INTERVALS = 1.3
 
 
+# Names of servers, with their incarnation, address and port.
+ServerIdentities = frozenset[tuple[str, int, str, int]]
+
+
 class ControlLog(Protocol):
     """Log changes of this process's known state."""
 
@@ -111,6 +117,8 @@
         self._own_source.relay_zone = zone
         self._relayed = RelayedSources(address, zone, transport.send)
         self._heartbeat_check_deadline = 0.0
+        self._stored_servers: ServerIdentities = frozenset()
+        self._server_list_deadline = 0.0
         self._ensemble = EnsembleHost(
             address,
             zone,
@@ -228,6 +236,28 @@
                 self._address, is_urgent=heartbeat.state is not ServingState.READY
             )
 
+    def restore_servers(self, heartbeats: list[Heartbeat]) -> None:
+        """Report servers that an earlier process knew, for their open flows only."""
+        self._heartbeat_table.restore(heartbeats, self._clock())
+        self._stored_servers = _identities(heartbeats)
+
+    def servers_to_store(self) -> list[Heartbeat] | None:
+        """Return the known servers if others are stored and a write is due, or None."""
+        now = self._clock()
+        if now < self._server_list_deadline:
+            return None
+        self._server_list_deadline = now + SERVER_LIST_INTERVAL_SECONDS
+        servers = self._heartbeat_table.known_servers()
+        identities = _identities(servers)
+        if identities == self._stored_servers:
+            return None
+        self._stored_servers = identities
+        return servers
+
+    def servers_not_stored(self) -> None:
+        """Return the servers from `servers_to_store` again, as their write failed."""
+        self._stored_servers = frozenset()
+
     def deregister(self, name: str) -> None:
         """Mark a backend server that leaves as gone, and notify subscribed hosts."""
         if self._heartbeat_table.deregister(name, self._clock()):
@@ -403,6 +433,14 @@
         )
 
 
+def _identities(servers: list[Heartbeat]) -> ServerIdentities:
+    """Return what a stored list of servers has to keep of them."""
+    return frozenset(
+        (server.name, server.incarnation, server.host, server.port)
+        for server in servers
+    )
+
+
 ControlMessage = (
     EnsembleHostMessage
     | SubscribeToControl
--- a/src/kingcuppulley/seeded/control.py
+++ b/src/kingcuppulley/seeded/control.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from random import Random
 
+from kingcuppulley.backend_servers.server_list_file import ServerListFile
 from kingcuppulley.control.disk_thread import DiskThread
 from kingcuppulley.control.ensemble_host import initial_vote
 from kingcuppulley.control.seeded_host import ControlMessage, SeededControlHost
@@ -64,7 +65,8 @@
                 settings.is_first_start,
             )
         self._has_failed_write = False
-        self._disk = DiskThread(self._store, loop, self.metrics)
+        self._server_list = ServerListFile(Path(settings.data_folder))
+        self._disk = DiskThread(self._store, loop, self.metrics, self._server_list)
         self._disk.on_vote_written = self._handle_vote_result
         self._link = DatagramLink(ControlMessage, self._receive_message, self.metrics)
         self._host = SeededControlHost(
@@ -83,6 +85,8 @@
             Random(os.urandom(8)),
             self._clock.now,
         )
+        self._disk.on_servers_not_written = self._host.servers_not_stored
+        self._restore_servers()
         self._handle_request = build_control_handler(
             self._host, settings.zones, self.metrics
         )
@@ -169,6 +173,15 @@
             else "".join(traceback.format_exception(failure)),
         )
 
+    def _restore_servers(self) -> None:
+        try:
+            servers = self._server_list.read()
+        except StorageError as error:
+            self.log.event_unthrottled("server list not read", reason=str(error))
+            return
+        self._host.restore_servers(servers)
+        self.log.event_unthrottled("servers restored", count=len(servers))
+
     def _update_gauges(self, gauges: dict[str, float]) -> None:
         self._host.update_gauges(gauges)
         self._disk.update_gauges(gauges)
@@ -179,4 +192,7 @@
             self.log.event_unthrottled("disk thread ended")
             raise SystemExit(1)
         self._host.tick(self._clock.now())
+        servers = self._host.servers_to_store()
+        if servers is not None:
+            self._disk.write_servers(servers)
         self.log.flush()
