Part the records of flows from the cookie router

cookie_router.py had 602 lines with packets, placements in flight, records and reports in one class. fabric/flow_records.py now holds the records of flows and follows their requests and answers; the router has 491 lines and keeps packets and placements. A record that replaces another one of its flow moves to the end of the order of expiry, where its time belongs; nothing else changes.

--- a/src/kingcuppulley/fabric/cookie_router.py
+++ b/src/kingcuppulley/fabric/cookie_router.py
@@ -26,6 +26,7 @@
     PlaceFlow,
 )
 from kingcuppulley.errors import MalformedPacketError
+from kingcuppulley.fabric.flow_records import FlowRecord, FlowRecords
 from kingcuppulley.fabric.flow_request import FlowRequest
 from kingcuppulley.fabric.formats import FlowPacket, PacketFormat
 from kingcuppulley.fabric.placement import (
@@ -38,9 +39,6 @@
 from kingcuppulley.operators.routing import RoutingTable
 
 PLACEMENT_ACKNOWLEDGEMENT_TIMEOUT_SECONDS = 0.04
-FLOW_RECORD_RETENTION_SECONDS = 4.0
-# A flow without a packet for this long after part of an answer has all of the answer.
-QUIET_AFTER_ANSWER_SECONDS = 0.03
 # How long a server's first packet takes to reach the caller that waits for it.
 ANSWER_TRAVEL_SECONDS = 0.03
 # Flows of lower priorities are counted with those of this one.
@@ -113,51 +111,6 @@
         self.is_reclaimed = is_reclaimed
 
 
-class _FlowRecord:
-    """Hold which host placed a flow, and what that host knows of its answers.
-
-    Attributes
-    ----------
-    recorded_at : float
-        When the flow was opened here.
-    last_active_at : float
-        When the caller last sent a request or acknowledged part of an answer.
-    may_be_reset : bool
-        Whether no other host may have placed the flow.
-    is_reported_established : bool
-        Whether the host that placed the flow counts it as established.
-    is_answer_reported : bool
-        Whether that host knows of an answer; then only a new request counts.
-    request_at : float or None
-        When the caller sent the request that is not answered yet.
-    answered_at : float
-        When the caller last acknowledged part of the answer.
-    """
-
-    __slots__ = (
-        "placed_by",
-        "recorded_at",
-        "last_active_at",
-        "may_be_reset",
-        "is_reported_established",
-        "is_answer_reported",
-        "request_at",
-        "answered_at",
-    )
-
-    def __init__(
-        self, placed_by: str, now: float, *, may_be_reset: bool = True
-    ) -> None:
-        self.placed_by = placed_by
-        self.recorded_at = now
-        self.last_active_at = now
-        self.may_be_reset = may_be_reset
-        self.is_reported_established = False
-        self.is_answer_reported = False
-        self.request_at: float | None = None
-        self.answered_at = 0.0
-
-
 class CookieRouter:
     """Route the packets of callers on one entry host.
 
@@ -191,9 +144,7 @@
         self._counts = metrics.counts
         self._log = log
         self._pending_placements: OrderedDict[bytes, _PendingPlacement] = OrderedDict()
-        self._flow_records: OrderedDict[bytes, _FlowRecord] = OrderedDict()
-        # Flows whose answer may be complete, the latest acknowledgement last.
-        self._answered_flows: OrderedDict[bytes, _FlowRecord] = OrderedDict()
+        self._records = FlowRecords(self._report, self._adopt_flow)
         self._ticked_at = float("inf")
         self._late_until = 0.0
         self.is_ready = False
@@ -248,7 +199,7 @@
         Ignore the refusal if another host may have placed the flow in the meantime,
         because the flow may be established by now.
         """
-        record = self._flow_records.get(message.flow)
+        record = self._records.get(message.flow)
         if record is not None and record.placed_by == host and record.may_be_reset:
             self._reset(message.flow)
 
@@ -290,12 +241,7 @@
                 steward=pending.coordinator,
             )
             self._place_reclaimed(pending, now)
-        self._report_answered(now)
-        while self._flow_records:
-            flow, record = next(iter(self._flow_records.items()))
-            if now - record.last_active_at < FLOW_RECORD_RETENTION_SECONDS:
-                break
-            del self._flow_records[flow]
+        self._records.tick(now)
         self._placement.tick(now)
 
     def _has_stalled(self, now: float) -> bool:
@@ -318,14 +264,14 @@
         request = pending.request
         coordinator = self._coordinator_of(request, now)
         if pending.is_reclaimed or coordinator in (None, self._address):
-            self._flow_records[request.flow] = _FlowRecord(self._address, now)
+            self._records.add(request.flow, FlowRecord(self._address, now))
             request.origin = NO_ORIGIN
             self._place_flow(request, now)
             return
         assert coordinator is not None
         self._counts["opens_to_next_coordinator"] += 1
-        self._flow_records[request.flow] = _FlowRecord(
-            coordinator, now, may_be_reset=False
+        self._records.add(
+            request.flow, FlowRecord(coordinator, now, may_be_reset=False)
         )
         self._pending_placements[request.flow] = _PendingPlacement(
             request, pending.message, coordinator, now, is_reclaimed=True
@@ -375,11 +321,11 @@
         request = self._build_request(message, header.route_key, origin, now)
         coordinator = self._coordinator_of(request, now)
         if coordinator is None or coordinator == self._address:
-            self._flow_records[header.flow] = _FlowRecord(self._address, now)
+            self._records.add(header.flow, FlowRecord(self._address, now))
             self._place_flow(request, now)
             return
-        self._flow_records[header.flow] = _FlowRecord(
-            coordinator, now, may_be_reset=may_be_reset
+        self._records.add(
+            header.flow, FlowRecord(coordinator, now, may_be_reset=may_be_reset)
         )
         self._pending_placements[header.flow] = _PendingPlacement(
             request, message, coordinator, now
@@ -456,7 +402,7 @@
             # A caller learns a cookie only from a server's answer.
             self._end_flow(header.flow, header.cookie != 0, now)
         elif header.cookie:
-            self._track_answer(header, now)
+            self._records.track(header, now)
         target = self._registry.by_cookie(header.cookie)
         if target is None:
             self._forward_to_peer(packet, header, now)
@@ -502,83 +448,26 @@
         )
         self._transport.send_to_target(datagram, target.endpoint, header)
 
-    def _track_answer(self, header: FlowPacket, now: float) -> None:
-        """Follow the requests and answers of a flow by its caller's packets."""
-        record = self._flow_records.get(header.flow)
-        if record is None:
-            record = self._adopt_flow(header, now)
-            if record is None:
-                return
-        record.last_active_at = now
-        self._flow_records.move_to_end(header.flow)
-        is_new_request = header.has_data and record.request_at is None
-        if is_new_request:
-            record.request_at = now
-        if is_new_request or not record.is_answer_reported:
-            self._report_established(header, record, now)
-        if header.has_data:
-            self._answered_flows.pop(header.flow, None)
-        elif record.request_at is not None:
-            # Without data, the packet acknowledges part of the answer.
-            record.answered_at = now
-            self._answered_flows[header.flow] = record
-            self._answered_flows.move_to_end(header.flow)
-
-    def _adopt_flow(self, header: FlowPacket, now: float) -> _FlowRecord | None:
-        """Record a flow whose request arrives here, if its opening is not on record.
-
-        The flow was idle for longer than flows are recorded, or another host or an
-        earlier process received its opening packet.  Its requests occupy its server as
-        much as those of other flows, so the coordinator of the server counts them.
-        """
+    def _adopt_flow(self, header: FlowPacket, now: float) -> FlowRecord | None:
+        """Return a record by which the coordinator of a flow's server counts it."""
         target = self._registry.by_cookie(header.cookie)
-        if target is None or not header.has_data:
+        if target is None:
             return None
         share = self._placement.choice.shares.share_of_server(target)
         coordinator = self._coordinators.coordinator(
             target.zone, target.service, now, share
         )
         self._counts["flows_adopted"] += 1
-        record = _FlowRecord(coordinator or self._address, now, may_be_reset=False)
-        self._flow_records[header.flow] = record
-        return record
-
-    def _report_established(
-        self, header: FlowPacket, record: _FlowRecord, now: float
-    ) -> None:
-        if record.is_reported_established:
-            return
-        record.is_reported_established = True
-        message = FlowEstablished(
-            header.flow, cookie=header.cookie, route=header.route_key
-        )
-        self._report(record, message, now)
+        return FlowRecord(coordinator or self._address, now, may_be_reset=False)
 
-    def _report_answered(self, now: float) -> None:
-        """Report the flows that pause after an answer."""
-        while self._answered_flows:
-            flow, record = next(iter(self._answered_flows.items()))
-            if now - record.answered_at < QUIET_AFTER_ANSWER_SECONDS:
-                break
-            del self._answered_flows[flow]
-            assert record.request_at is not None
-            seconds = record.answered_at - record.request_at
-            record.request_at = None
-            record.is_reported_established = False
-            record.is_answer_reported = True
-            self._report(record, FlowEstablished(flow, seconds), now)
-
-    def _report(
-        self, record: _FlowRecord, message: FlowEstablished, now: float
-    ) -> None:
+    def _report(self, record: FlowRecord, message: FlowEstablished, now: float) -> None:
         if record.placed_by == self._address:
             self.flow_established(message, now)
         else:
             self._transport.send_to_host(record.placed_by, message)
 
     def _end_flow(self, flow: bytes, was_answered: bool, now: float) -> None:
-        record = self._flow_records.pop(flow, None)
-        self._answered_flows.pop(flow, None)
+        record = self._records.remove(flow)
         if record is None:
             return
         self._log.record_sampled_step(
--- a/tests/cover/test_busy_long_flows.py
+++ b/tests/cover/test_busy_long_flows.py
@@ -16,7 +16,7 @@
     EntryHostInfo,
     FlowEstablished,
 )
-from kingcuppulley.fabric.cookie_router import FLOW_RECORD_RETENTION_SECONDS
+from kingcuppulley.fabric.flow_records import FLOW_RECORD_RETENTION_SECONDS
 from kingcuppulley.fabric.placement import (
     PLACEMENT_RETENTION_SECONDS,
     Placement,
--- a/tests/cover/test_long_flows.py
+++ b/tests/cover/test_long_flows.py
@@ -11,7 +11,7 @@
     FlowEnded,
     FlowEstablished,
 )
-from kingcuppulley.fabric.cookie_router import QUIET_AFTER_ANSWER_SECONDS
+from kingcuppulley.fabric.flow_records import QUIET_AFTER_ANSWER_SECONDS
 from kingcuppulley.fabric.placement import Placement, PlacementOutcome
 from tests.cover.test_cookie_router import OWN, Host, host_with_other_coordinator
 from tests.seeded_fakes import (
