--- a/src/kingcuppulley/control/disk_thread.py
+++ b/src/kingcuppulley/control/disk_thread.py
@@ -63,7 +63,7 @@
     def update_gauges(self, gauges: dict[str, float]) -> None:
         """Set the gauge of the time in seconds for which a write is in progress."""
         started_at = self._write_started_at
-        gauges["vote_write_pending_seconds"] = (
+        gauges["disk_write_pending_seconds"] = (
             time.monotonic() - started_at if started_at is not None else 0.0
         )
 
