--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,10 +7,10 @@
 import sys
 from pathlib import Path
 
-from review.stand_ins.calls import Operator, configuration, route
-from review.stand_ins.cases import run_case
-from review.stand_ins.deployment import BOUNDS, ZONES, CannotRun, Deployment, Record
-from review.stand_ins.flows import Target, World
+from review.calls import Operator, configuration, route
+from review.cases import run_case
+from review.deployment import BOUNDS, ZONES, CannotRun, Deployment, Record
+from review.flows import Target, World
 
 ROUTE = ("198.18.0.1", 443)
 ZONE = "zone-b"
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,9 +6,9 @@
 import sys
 from pathlib import Path
 
-from review.stand_ins.calls import Operator, call, configuration, route
-from review.stand_ins.cases import run_case
-from review.stand_ins.deployment import (
+from review.calls import Operator, call, configuration, route
+from review.cases import run_case
+from review.deployment import (
     BOUNDS,
     ZONES,
     CannotRun,
@@ -16,7 +16,7 @@
     Node,
     Record,
 )
-from review.stand_ins.flows import Arrival, Target, World
+from review.flows import Arrival, Target, World
 
 ROUTE = ("198.18.0.1", 443)
 ZONE = "zone-b"
--- a/review/stand_ins/calls.py
+++ b/review/calls.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 
-from review.stand_ins.deployment import Node, Record
+from review.deployment import Node, Record
 
 CALL_TIMEOUT_SECONDS = 1.0
 FIRST_BACKOFF_SECONDS = 0.1
--- a/review/stand_ins/cases.py
+++ b/review/cases.py
@@ -13,7 +13,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from review.stand_ins.deployment import CannotRun, Deployment, Record
+from review.deployment import CannotRun, Deployment, Record
 
 LONGEST_SECONDS = 115.0
 
--- a/review/stand_ins/deployment.py
+++ b/review/deployment.py
@@ -15,7 +15,7 @@
 import tomllib
 from pathlib import Path
 
-REPOSITORY = Path(__file__).resolve().parents[2]
+REPOSITORY = Path(__file__).resolve().parents[1]
 ZONES = ("zone-a", "zone-b", "zone-c")
 METRICS_PORT = 9464
 HEARTBEAT_SECONDS = 1.2
--- a/review/stand_ins/flows.py
+++ b/review/flows.py
@@ -11,8 +11,8 @@
 import time
 import zlib
 
-from review.stand_ins.calls import call
-from review.stand_ins.deployment import (
+from review.calls import call
+from review.deployment import (
     HEARTBEAT_SECONDS,
     CannotRun,
     Deployment,
