--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,14 +6,13 @@
 import sys
 from pathlib import Path
 
-from review.calls import Operator, call, configuration, route
+from review.calls import Operator, configuration, route
 from review.cases import run_case
 from review.deployment import (
     BOUNDS,
     ZONES,
     CannotRun,
     Deployment,
-    Node,
     Record,
 )
 from review.flows import Arrival, Target, World
@@ -30,8 +29,6 @@
 COLD_BEFORE_END_SECONDS = 0.1
 # A process that was killed starts again after this time.
 RESTART_SECONDS = 0.5
-# A host that starts is ready about this long after the zone is taken back.
-READY_AFTER_END_SECONDS = 0.15
 # What the configuration says of cold targets; the pages' example has 0, with which the
 # rule allows less.
 WARMUP_PER_S = 4.0
@@ -55,18 +52,17 @@
     await world.wait_until_served(20.0)
     deployment.end_first_start()
     entry = next(node for node in deployment.entries if node.zone == ZONE)
-    start_seconds = await _measure_start(world, entry, record) if has_trouble else 0.0
     await asyncio.sleep(5.0)
 
     path = f"/kingcuppulley/evacuate/{ZONE}"
     if await operator.order(f"{path}/start", first=0) is None:
         raise CannotRun("the evacuation was not acknowledged")
     end_at = record.now() + EVACUATION_SECONDS
-    start_at = end_at + READY_AFTER_END_SECONDS - start_seconds
     if has_trouble:
-        await asyncio.sleep(start_at - RESTART_SECONDS - record.now())
+        await asyncio.sleep(end_at - RESTART_SECONDS - record.now())
         entry.kill()
-        asyncio.get_running_loop().call_later(start_at - record.now(), entry.start)
+        # The start takes longer than the order, so the process is ready after it.
+        asyncio.get_running_loop().call_later(end_at - record.now(), entry.start)
     await asyncio.sleep(end_at - COLD_BEFORE_END_SECONDS - record.now())
     for target in targets:
         if target.zone == ZONE:
@@ -94,23 +90,6 @@
     return breaks
 
 
-async def _measure_start(world: World, entry: Node, record: Record) -> float:
-    """Return how long the entry host takes from its start until it is ready."""
-    entry.kill()
-    await asyncio.sleep(3.0)
-    began_at = record.now()
-    entry.start()
-
-    port = world.deployment.addresses.ready_port
-    while record.now() - began_at < 15.0:
-        status, _ = await call(entry.ip, port, "GET", "/kingcuppulley/ready")
-        if status == 200:
-            record.write(f"{entry.name} was ready {record.now() - began_at:.3f} s on")
-            return record.now() - began_at
-        await asyncio.sleep(0.01)
-    raise CannotRun("an entry host did not start again")
-
-
 def _most_in_a_second(arrivals: list[Arrival]) -> int:
     """Return the most requests that were sent and arrived inside one second."""
     return max(
--- a/review/flows.py
+++ b/review/flows.py
@@ -366,13 +366,18 @@
         attempt = _Attempt(f"{random.getrandbits(64):016x}", self._next_port)
         self.attempts[attempt.port] = attempt
         opening = asyncio.get_running_loop().create_task(self._open_flow(attempt))
+        outcome = "no answer"
         try:
             async with asyncio.timeout_at(deadline):
-                return await attempt.result
+                outcome = await attempt.result
         except TimeoutError:
-            return "no answer"
+            pass
         finally:
             opening.cancel()
+        self.world.record.write(
+            f"client of {self.zone}: {attempt.try_id} ended: {outcome}"
+        )
+        return outcome
 
     async def _open_flow(self, attempt: _Attempt) -> None:
         began_at = asyncio.get_running_loop().time()
@@ -381,6 +386,10 @@
             if attempt.is_open or attempt.result.done():
                 break
             attempt.sent_at.append(self.world.record.now())
+            self.world.record.write(
+                f"client of {self.zone}: {attempt.try_id} opening packet {copy} "
+                f"sent from port {attempt.port}"
+            )
             self._send(attempt, attempt.seq, copy, SYN)
         else:
             await asyncio.sleep(
@@ -484,10 +493,16 @@
         now = self.record.now()
         was_cold = now < target.cold_until
         self.arrivals.append(Arrival(sent_at, now, target, sender, was_cold))
+        client = f"{socket.inet_ntoa(packet.source[0])} port {packet.source[1]}"
+        self.record.write(
+            f"target {target.name} of {target.zone}{', cold' if was_cold else ''}: "
+            f"took the opening packet of {client} from {sender}"
+        )
 
     def record_run(self, target: Target, try_id: str) -> None:
         """Record that a target ran a request."""
         self.runs[try_id] = self.runs.get(try_id, 0) + 1
+        self.record.write(f"target {target.name} of {target.zone}: ran {try_id}")
         if self.runs[try_id] > 1:
             self.record.write(f"target {target.name}: {try_id} ran again")
 
