Apply no order for a zone that may be older than the zone's last order

Callers saw: a zone that was evacuated, and acknowledged, got requests again 5 to 10 s later.

Cause: a control host that had been frozen read the call of an operator that had closed the connection and gone on to other hosts. Orders for zones have no version, and the proposal's time limit began when the call was read, so the end of the first evacuation was applied after the second one. The other way round a zone stayed out. The same holds for a host that was cut off, for a call whose bytes the network held up, for a proposal whose host pauses before it has its promises, and for `leave`, which names no start of its server.

Change: ReceiptHistory bounds from when a request may be, by the host's own pauses, its contact with a quorum and the time at which the connection was opened. Until 0.9 s after that, the caller waits, and an order is applied as before. Later it is applied only to a state in which nothing was ordered for the zone since: the agreed state holds the revision of each zone's last order, and the proposer asks in each round, with the state that a quorum promised, after dropping what has expired or whose caller has disconnected. Otherwise the answer is 503 at once. A `leave` that may be from before the known start of a server that serves is answered with 503. Changes of templates name an expected version and are not concerned (by reading).

Why it works: an order that is proposed late needs promises from a quorum, which reports every order that was acknowledged before; if one of these is newer than what the host knew when the call may have been sent, the call may be older, and is dropped.

--- a/src/kingcuppulley/control/ensemble_host.py
+++ b/src/kingcuppulley/control/ensemble_host.py
@@ -16,7 +16,11 @@
     PrepareState,
     ReadState,
 )
-from kingcuppulley.control.proposer import Proposer, StateCallback
+from kingcuppulley.control.proposer import (
+    Proposer,
+    StateCallback,
+    StateCondition,
+)
 from kingcuppulley.control.registers import ZERO_BALLOT
 from kingcuppulley.control.state import (
     ChosenVoters,
@@ -154,6 +158,14 @@
         """Return the peers whose last hello is within `LIVENESS_TIMEOUT_SECONDS`."""
         return sorted(host for host, peer in self._peers.items() if _is_live(peer, now))
 
+    def quorum_contact_at(self, now: float) -> float:
+        """Return when a quorum of the known voters, or more, was last heard."""
+        voters = self._proposer.voters
+        return min(
+            self._majority_contact_at(members, now)
+            for members in (voters.members, voters.previous)
+        )
+
     def update_seeds(self, seeds: list[str]) -> None:
         """Replace the seeds, the control hosts that the settings name."""
         self._seeds = seeds
@@ -164,13 +176,14 @@
         self._send_hello(now)
 
     def change(
-        self, change: StateChange, on_result: StateCallback, deadline: float
+        self,
+        change: StateChange,
+        on_result: StateCallback,
+        deadline: float,
+        may_apply: StateCondition = lambda _: True,
     ) -> None:
-        """Propose a change.
-
-        `on_result` receives the chosen state, or None after the deadline.
-        """
-        self._proposer.submit(change, on_result, deadline)
+        """Propose a change; see `Proposer.submit`."""
+        self._proposer.submit(change, on_result, deadline, may_apply)
         self._proposer.tick(self._now)
 
     def read(self, on_result: StateCallback, deadline: float) -> None:
@@ -232,6 +245,14 @@
         self._now = now
         self._voter.vote_written(succeeded, now)
 
+    def _majority_contact_at(self, members: tuple[Member, ...], now: float) -> float:
+        heard_at = {host: peer.last_received_at for host, peer in self._peers.items()}
+        heard_at[self._host] = now
+        times = [heard_at.get(member.host, float("-inf")) for member in members]
+        majority = len(members) // 2 + 1
+        # A host that does not know the voters has no contact with them.
+        return sorted(times, reverse=True)[majority - 1] if members else float("-inf")
+
     def _handle_chosen_state(self, state: RoutingState) -> None:
         self._voter.learn(ChosenVoters(state.revision, state.voters))
         for host in self.live_hosts(self._now):
--- a/src/kingcuppulley/control/proposer.py
+++ b/src/kingcuppulley/control/proposer.py
@@ -32,6 +32,8 @@
 MAXIMUM_BACKOFF_SECONDS = 0.03
 
 StateCallback = Callable[[RoutingState | None], None]
+# Returns whether a change may still be applied to a state.
+StateCondition = Callable[[RoutingState], bool]
 
 
 class RequestSender(Protocol):
@@ -44,17 +46,23 @@
 class PendingOperation:
     """Hold one change or read, its deadline and the callback for its result.
 
-    `change` is None for a read.
+    `change` is None for a read.  A change is proposed only if `may_apply` returns True
+    for the state that it would change.
     """
 
-    __slots__ = ("change", "on_result", "deadline")
+    __slots__ = ("change", "on_result", "deadline", "may_apply")
 
     def __init__(
-        self, change: StateChange | None, on_result: StateCallback, deadline: float
+        self,
+        change: StateChange | None,
+        on_result: StateCallback,
+        deadline: float,
+        may_apply: StateCondition = lambda _: True,
     ) -> None:
         self.change = change
         self.on_result = on_result
         self.deadline = deadline
+        self.may_apply = may_apply
 
 
 class _Round:
@@ -162,13 +170,20 @@
         )
 
     def submit(
-        self, change: StateChange, on_result: StateCallback, deadline: float
+        self,
+        change: StateChange,
+        on_result: StateCallback,
+        deadline: float,
+        may_apply: StateCondition = lambda _: True,
     ) -> None:
         """Propose a change until a quorum accepts it or the deadline passes.
 
-        `on_result` receives the chosen state, or None after the deadline.
+        `may_apply` is asked in each round, before the change is proposed.  `on_result`
+        receives the chosen state, or None if `may_apply` returned False, or after the
+        deadline.
         """
-        self._pending_changes.append(PendingOperation(change, on_result, deadline))
+        operation = PendingOperation(change, on_result, deadline, may_apply)
+        self._pending_changes.append(operation)
 
     def read(self, on_result: StateCallback, deadline: float) -> None:
         """Read the state that a quorum confirms before the deadline passes.
@@ -291,7 +306,10 @@
             # Other changes wait until this change of voters is complete.
             state = end_member_change(newest) if is_chosen else newest
         else:
-            current_round.operations, self._pending_changes = self._pending_changes, []
+            # A process that was paused reads promises before its next tick.
+            self._expire_operations(now)
+            operations, self._pending_changes = self._pending_changes, []
+            current_round.operations = _drop_outdated(operations, newest)
             changes = [
                 operation.change
                 for operation in current_round.operations
@@ -404,6 +422,19 @@
     return state
 
 
+def _drop_outdated(
+    operations: list[PendingOperation], state: RoutingState
+) -> list[PendingOperation]:
+    """Return the operations that may change a state; report None to the others."""
+    remaining = []
+    for operation in operations:
+        if operation.may_apply(state):
+            remaining.append(operation)
+        else:
+            operation.on_result(None)
+    return remaining
+
+
 def _drop_expired(
     operations: list[PendingOperation], now: float
 ) -> list[PendingOperation]:
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -15,6 +15,7 @@
     FetchState,
 )
 from kingcuppulley.control.proposer import StateCallback
+from kingcuppulley.control.receipt_history import ReceiptHistory
 from kingcuppulley.control.relayed_sources import News, RelayedSources
 from kingcuppulley.control.state import (
     EarlierServices,
@@ -30,6 +31,11 @@
 )
 from kingcuppulley.control.update_source import UpdateSource
 from kingcuppulley.control.voter import VoteWriter
+from kingcuppulley.control.zone_order import (
+    OPERATION_TIMEOUT_SECONDS,
+    Caller,
+    ZoneOrder,
+)
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlUpdate,
     EntryHostInfo,
@@ -46,7 +52,6 @@
     find_earlier_services,
 )
 
-OPERATION_TIMEOUT_SECONDS = 0.9
 # Time without a subscribe message after which an entry host no longer counts as ready.
 SUBSCRIPTION_TIMEOUT_SECONDS = 1.5
 # Time without a subscribe message after which an entry host gets no more updates.
@@ -107,6 +112,7 @@
         self._clock = clock
         self._last_heartbeat_at = 0.0
         self._state_chosen_at = 0.0
+        self._receipts = ReceiptHistory(vote.state.revision, clock())
         self._heartbeat_table = HeartbeatTable(heartbeat_seconds)
         self._own_source = UpdateSource(
             address, instance, self._heartbeat_table.log, clock()
@@ -168,10 +174,15 @@
             version,
         )
 
-    def set_zone(self, zone: str, in_service: bool, on_result: StateCallback) -> None:
+    def set_zone(
+        self, zone: str, in_service: bool, on_result: StateCallback, caller: Caller
+    ) -> None:
         """Take a zone out of service, or put it back into service."""
         change_kind = "zone back" if in_service else "zone out"
-        self._propose_change(set_zone(zone, in_service), on_result, change_kind, zone)
+        order = ZoneOrder(zone, in_service, caller, self._receipts, self._clock)
+        self._propose_change(
+            set_zone(zone, in_service), on_result, change_kind, zone, order
+        )
 
     def read(self, on_result: StateCallback) -> None:
         """Read the state that a quorum confirms.
@@ -258,11 +269,21 @@
         """Return the servers from `servers_to_store` again, as their write failed."""
         self._stored_servers = frozenset()
 
-    def deregister(self, name: str) -> None:
-        """Mark a backend server that leaves as gone, and notify subscribed hosts."""
+    def deregister(self, name: str, caller: Caller) -> bool:
+        """Mark a backend server that leaves as gone, and notify subscribed hosts.
+
+        Return False without an effect if the request may be from before its present
+        incarnation.
+        """
+        sent_after = self._receipts.earliest_sending(caller.began_at, self._clock())
+        if not self._heartbeat_table.may_deregister(name, sent_after):
+            self._metrics.count("leaves_outdated")
+            self._log.event("backend server leave outdated", server=name)
+            return False
         if self._heartbeat_table.deregister(name, self._clock()):
             self._log.event("backend server left", server=name)
             self._notify(self._address, is_urgent=True)
+        return True
 
     def receive(self, address: str, message: object) -> None:
         """Process a message from another process."""
@@ -293,6 +314,7 @@
     def state_chosen(self, state: RoutingState) -> None:
         """Log a newly chosen state, and notify subscribed hosts of its revision."""
         self._state_chosen_at = self._clock()
+        self._receipts.record_revision(state.revision, self._state_chosen_at)
         self._log.event(
             "state chosen",
             revision=state.revision,
@@ -305,6 +327,7 @@
 
     def tick(self, now: float) -> None:
         """Process every deadline that has passed."""
+        self._receipts.record_tick(self._ensemble.quorum_contact_at(now), now)
         self._ensemble.tick(now)
         self._relayed.tick(self._ensemble.live_hosts(now), now)
         self._updates.tick(self._relayed.sources, now)
@@ -324,12 +347,17 @@
         on_result: StateCallback,
         change_kind: str,
         subject: object,
+        zone_order: ZoneOrder | None = None,
     ) -> None:
         requested_at = self._clock()
 
         def record_result(state: RoutingState | None) -> None:
             seconds = self._clock() - requested_at
-            outcome = "accepted" if state is not None else "no quorum in time"
+            reason = zone_order.outdated_reason if zone_order is not None else ""
+            if state is not None:
+                outcome = "accepted"
+            else:
+                outcome = "outdated" if reason else "no quorum in time"
             self._metrics.count(f"orders_{outcome.replace(' ', '_')}")
             self._metrics.observe_seconds("order", seconds)
             self._log.event(
@@ -337,13 +365,17 @@
                 order=change_kind,
                 subject=subject,
                 outcome=outcome,
+                reason=reason,
                 revision=state.revision if state is not None else None,
                 seconds=round(seconds, 4),
             )
             on_result(state)
 
         self._ensemble.change(
-            change, record_result, requested_at + OPERATION_TIMEOUT_SECONDS
+            change,
+            record_result,
+            requested_at + OPERATION_TIMEOUT_SECONDS,
+            zone_order.may_apply if zone_order is not None else _always_applies,
         )
 
     def _handle_subscription(
@@ -433,6 +465,10 @@
         )
 
 
+def _always_applies(_: RoutingState) -> bool:
+    return True
+
+
 def _identities(servers: list[Heartbeat]) -> ServerIdentities:
     """Return what a stored list of servers has to keep of them."""
     return frozenset(
--- a/src/kingcuppulley/control/state.py
+++ b/src/kingcuppulley/control/state.py
@@ -57,13 +57,24 @@
     services: tuple[str, ...]
 
 
+class ZoneHistory(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the revision of the last order for a zone.
+
+    An order that repeats the one before counts, too.
+    """
+
+    zone: str
+    order_revision: int
+
+
 class RoutingState(msgspec.Struct, frozen=True, array_like=True):
     """Hold all accepted operator changes, and the voters.
 
     `revision` grows by one with each change.  `configuration` is the operator's
     document, compressed with zlib.  `zones_out` are the zones out of service.
     `earlier_services` has an entry for each route that earlier configurations sent to
-    other services.
+    other services.  `zone_histories` has an entry for each zone that any order named;
+    states of earlier builds have none.
     """
 
     revision: int = 0
@@ -72,6 +83,18 @@
     configuration: bytes = b""
     zones_out: tuple[str, ...] = ()
     earlier_services: tuple[EarlierServices, ...] = ()
+    zone_histories: tuple[ZoneHistory, ...] = ()
+
+    def zone_order_revision(self, zone: str) -> int:
+        """Return the revision of the last order for a zone, or 0 if there was none."""
+        history = self._zone_history(zone)
+        return history.order_revision if history is not None else 0
+
+    def _zone_history(self, zone: str) -> ZoneHistory | None:
+        for history in self.zone_histories:
+            if history.zone == zone:
+                return history
+        return None
 
 
 class ChosenVoters(msgspec.Struct, frozen=True, array_like=True):
@@ -130,7 +153,14 @@
             zones.discard(zone)
         else:
             zones.add(zone)
-        return msgspec.structs.replace(state, zones_out=tuple(sorted(zones)))
+        others = [entry for entry in state.zone_histories if entry.zone != zone]
+        # The revision of the state that this change is part of.
+        history = ZoneHistory(zone, state.revision + 1)
+        return msgspec.structs.replace(
+            state,
+            zones_out=tuple(sorted(zones)),
+            zone_histories=tuple(sorted((*others, history), key=_zone_of)),
+        )
 
     return change
 
@@ -171,6 +201,10 @@
     )
 
 
+def _zone_of(history: ZoneHistory) -> str:
+    return history.zone
+
+
 def _is_majority(members: tuple[Member, ...], disk_ids: Container[str]) -> bool:
     count = sum(1 for member in members if member.disk_id in disk_ids)
     return count >= len(members) // 2 + 1
--- a/src/kingcuppulley/internal/asyncio_http.py
+++ b/src/kingcuppulley/internal/asyncio_http.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -19,13 +20,18 @@
 
 
 class HttpRequest:
-    """Hold one HTTP request and send its answer."""
+    """Hold one HTTP request and send its answer.
+
+    `began_at` is when the connection was opened, for its first request; a caller waits
+    from then on.  For later requests it is when the request was read.
+    """
 
     __slots__ = (
         "method",
         "path",
         "query",
         "body",
+        "began_at",
         "_connection",
         "_keeps_alive",
         "_encoded_answer",
@@ -37,6 +43,7 @@
         path: bytes,
         query: bytes,
         body: bytes,
+        began_at: float,
         keeps_alive: bool,
         connection: _Connection,
     ) -> None:
@@ -44,6 +51,7 @@
         self.path = path
         self.query = query
         self.body = body
+        self.began_at = began_at
         self._connection = connection
         self._keeps_alive = keeps_alive
         self._encoded_answer: bytes | None = None
@@ -83,10 +91,16 @@
     """Read the requests of one connection and send their answers in order."""
 
     def __init__(
-        self, handle: HttpRequestHandler, loop: asyncio.AbstractEventLoop
+        self,
+        handle: HttpRequestHandler,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], float],
     ) -> None:
         self._handle = handle
         self._loop = loop
+        self._clock = clock
+        # None once the first request was read.
+        self._opened_at: float | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
@@ -104,6 +118,7 @@
         """Store the transport and start the idle timer."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._opened_at = self._clock()
         self._restart_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -148,11 +163,14 @@
             return
         self._restart_idle_timer()
         path, _, query = self._path.partition(b"?")
+        began_at = self._clock() if self._opened_at is None else self._opened_at
+        self._opened_at = None
         request = HttpRequest(
             self._parser.get_method(),
             path,
             query,
             b"".join(self._body),
+            began_at,
             self._parser.should_keep_alive(),
             self,
         )
@@ -182,9 +200,16 @@
 
 
 async def listen_requests(
-    loop: asyncio.AbstractEventLoop, host: str, port: int, handle: HttpRequestHandler
+    loop: asyncio.AbstractEventLoop,
+    host: str,
+    port: int,
+    handle: HttpRequestHandler,
+    clock: Callable[[], float] = time.monotonic,
 ) -> asyncio.Server:
-    """Listen for HTTP requests, or raise `OSError` if the address is in use."""
+    """Listen for HTTP requests, or raise `OSError` if the address is in use.
+
+    `clock` gives the time of `HttpRequest.began_at`.
+    """
     return await loop.create_server(
-        lambda: _Connection(handle, loop), host, port, backlog=CONNECTION_BACKLOG
+        lambda: _Connection(handle, loop, clock), host, port, backlog=CONNECTION_BACKLOG
     )
--- a/src/kingcuppulley/platform/calls.py
+++ b/src/kingcuppulley/platform/calls.py
@@ -96,8 +96,15 @@
     def _handle_target_request(self, request: HttpRequest, subpath: str) -> None:
         name, _, action = subpath.partition("/")
         if action == "leave":
-            self._host.deregister(name)
-            answer_json(request, 200, _Acknowledgement())
+            if self._host.deregister(name, request):
+                answer_json(request, 200, _Acknowledgement())
+            else:
+                answer_fault(
+                    request,
+                    503,
+                    "the server has started again since this may have been sent",
+                    _RETRY_REMEDY,
+                )
             return
         if action != "heartbeat":
             answer_fault(request, 404, "unknown action", "use heartbeat or leave")
@@ -123,7 +130,9 @@
                 "use a zone that is in the settings of this control host",
             )
         else:
-            self._host.set_zone(zone, action == "end", _answer_on_result(request))
+            self._host.set_zone(
+                zone, action == "end", _answer_on_result(request), request
+            )
 
 
 def build_control_handler(
@@ -144,8 +153,8 @@
             answer_fault(
                 request,
                 503,
-                "no majority of control hosts answered in time; it is unknown whether "
-                "the change is accepted",
+                "no majority of control hosts answered in time, or a later change may "
+                "exist; it is unknown whether the change is accepted",
                 _RETRY_REMEDY,
             )
         else:
--- a/src/kingcuppulley/seeded/control.py
+++ b/src/kingcuppulley/seeded/control.py
@@ -103,7 +103,11 @@
         if settings.control is not None:
             control = settings.control
             await listen_requests(
-                self._loop, control.host, control.port, self._handle_request
+                self._loop,
+                control.host,
+                control.port,
+                self._handle_request,
+                self._clock.now,
             )
         await serve_metrics(
             self._loop, settings.metrics, self.metrics, self._update_gauges
--- a/tests/cover/test_control_subscription.py
+++ b/tests/cover/test_control_subscription.py
@@ -23,7 +23,7 @@
 from kingcuppulley.operators.routing import RoutingConfiguration
 from tests.cover.test_cookie_router import Recorder, WordPacketFormat, configuration
 from tests.ensemble_cluster import FakeDisk
-from tests.seeded_fakes import heartbeat
+from tests.seeded_fakes import WaitingCaller, heartbeat
 
 CONTROL_HOST = "control"
 ENTRY_HOSTS = ["a1", "a2", "b1"]
@@ -261,9 +261,10 @@
     deployment = ready_deployment()
     deployment.control.receive_heartbeat(heartbeat("i-2", zone="zone-b"))
     results = []
-    deployment.control.set_zone("zone-b", False, results.append)
+    caller = WaitingCaller(deployment.now)
+    deployment.control.set_zone("zone-b", False, results.append, caller)
     deployment.run(0.2)
-    deployment.control.set_zone("zone-b", True, results.append)
+    deployment.control.set_zone("zone-b", True, results.append, caller)
     deployment.run(0.2)
     assert all(state is not None for state in results)
     for number in range(8):
--- a/tests/cover/test_control_traffic.py
+++ b/tests/cover/test_control_traffic.py
@@ -10,6 +10,7 @@
 from kingcuppulley.entry_hosts.control_follower import CONTROL_HOST_RETENTION_SECONDS
 from kingcuppulley.entry_hosts.seeded_messages import ControlUpdate, SubscribeToRelay
 from tests.control_traffic import SERVERS_PER_ENTRY_HOST, ControlNetwork
+from tests.seeded_fakes import WaitingCaller
 
 BUDGET_BYTES_PER_SECOND = 11_000
 BYTES_PER_SERVER = 110
@@ -242,7 +243,7 @@
     network.drain_server(0)
     network.run(0.5)
     owner = network.controls[network.control_names[0]]
-    owner.deregister("i-1")
+    assert owner.deregister("i-1", WaitingCaller(network.now))
     network.stop_server(0)
     network.run(HEARTBEAT_RETENTION_SECONDS + 2 * EVICTION_INTERVAL_SECONDS)
     for control in network.controls.values():
--- a/tests/seeded_fakes.py
+++ b/tests/seeded_fakes.py
@@ -27,6 +27,14 @@
 OBJECTIVE_SECONDS = 0.15
 
 
+class WaitingCaller:
+    """Wait for an answer since a time, on an open connection."""
+
+    def __init__(self, began_at: float) -> None:
+        self.began_at = began_at
+        self.is_disconnected = False
+
+
 def heartbeat(name: str = "i-1", **fields: object) -> Heartbeat:
     values: dict[str, object] = {
         "name": name,
