Decide by the agreed state whether servers of a returned zone are cold

Cause: a host treated servers as cold only if it saw their zone out of service and then back. A host that started, was paused or cut off, or got no state from the time between, saw nothing, and took reports from before the return for present ones.

Change: the routing state holds the revision of each zone's last return. Control hosts add to a heartbeat the last return that they certainly knew when it was sent, by the same bound as for old orders. An entry host treats a server as cold while its newest report is from before the zone's return, for at most the time of a cold start after it learned of the return, and then as the report says. After a pause of 0.5 s or more it treats all servers as cold until a control host has answered a subscription that was sent after the pause, for 0.5 s at most.

Why it works: return and report are compared by revision, which every host knows alike; nothing depends on what a host saw happen, or on another host's clock.

--- a/src/kingcuppulley/backend_servers/heartbeat_table.py
+++ b/src/kingcuppulley/backend_servers/heartbeat_table.py
@@ -48,6 +48,8 @@
         entry = self._log.get(heartbeat.name)
         if entry is not None and not _is_newer(heartbeat, entry):
             return False
+        if entry is not None:
+            heartbeat = _keep_known_return(heartbeat, entry.heartbeat)
         if entry is not None and not _is_change(heartbeat, entry):
             self._log.record_unchanged(heartbeat, now)
             return False
@@ -133,6 +135,14 @@
     return heartbeat.sequence > stored.sequence and entry.state is not ServingState.GONE
 
 
+def _keep_known_return(heartbeat: Heartbeat, previous: Heartbeat) -> Heartbeat:
+    """Return a heartbeat that is sent after every return before the previous one."""
+    revision = previous.known_return_revision
+    if heartbeat.known_return_revision >= revision:
+        return heartbeat
+    return msgspec.structs.replace(heartbeat, known_return_revision=revision)
+
+
 def _is_change(heartbeat: Heartbeat, entry: ServerEntry) -> bool:
     stored = entry.heartbeat
     if (
@@ -142,6 +152,8 @@
         return True
     if (heartbeat.host, heartbeat.port) != (stored.host, stored.port):
         return True
+    if heartbeat.known_return_revision != stored.known_return_revision:
+        return True
     if heartbeat.cold_remaining_seconds > 0 or stored.cold_remaining_seconds > 0:
         return True
     # A gap in the sequence means that the server sent heartbeats to another control
--- a/src/kingcuppulley/backend_servers/heartbeats.py
+++ b/src/kingcuppulley/backend_servers/heartbeats.py
@@ -33,6 +33,9 @@
         Grows with each heartbeat of one incarnation.
     cold_remaining_seconds : float
         How much longer the server is cold, counted from when this message was sent.
+    known_return_revision : int
+        Revision at which the server's zone had last returned to service when the
+        heartbeat was sent, or earlier; 0 if none is known.
     """
 
     name: str
@@ -46,3 +49,4 @@
     sequence: int
     slots: int
     cold_remaining_seconds: float
+    known_return_revision: int = 0
--- a/src/kingcuppulley/backend_servers/target_registry.py
+++ b/src/kingcuppulley/backend_servers/target_registry.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
+from kingcuppulley.backend_servers.zone_returns import ZoneReturns
 from kingcuppulley.internal.rendezvous import hash_name
 
 PREVIOUS_INSTANCE_RETENTION_SECONDS = 4.0
@@ -25,7 +26,9 @@
     incarnation : int
         Start time of the server in milliseconds.
     cold_deadline : float
-        When the server's cold start ends.
+        Until when the server is cold, or may be because its zone has returned.
+    known_return_revision : int
+        That of the newest heartbeat; see `Heartbeat`.
     changed_at : float
         When the server was registered or its state last changed.
     packet_identity : bytes
@@ -44,6 +47,7 @@
         "state",
         "incarnation",
         "cold_deadline",
+        "known_return_revision",
         "changed_at",
         "packet_identity",
         "cookie",
@@ -58,6 +62,7 @@
         self.state = heartbeat.state
         self.incarnation = heartbeat.incarnation
         self.cold_deadline = 0.0
+        self.known_return_revision = heartbeat.known_return_revision
         self.changed_at = 0.0
         self.packet_identity = heartbeat.packet_identity
         self.cookie = derive_cookie(heartbeat.name, heartbeat.incarnation)
@@ -93,10 +98,15 @@
     Each control host reports only the heartbeats that it received itself; of several
     reports on a server the newest wins.  When a control host restarts, the reports of
     its previous instance stay valid for `PREVIOUS_INSTANCE_RETENTION_SECONDS`, so that
-    the servers have time to send heartbeats to the new instance.
+    the servers have time to send heartbeats to the new instance.  Servers whose newest
+    report is from before the last return of their zone count as cold; see
+    `ZoneReturns`.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, cold_seconds_of: Callable[[str], float] = lambda service: 0.0
+    ) -> None:
+        self._zone_returns = ZoneReturns(cold_seconds_of)
         self._sources: dict[str, _Source] = {}
         self._previous_instances: list[tuple[float, dict[str, Heartbeat]]] = []
         self._targets: dict[str, RegisteredTarget] = {}
@@ -173,6 +183,14 @@
                 changed.append(target)
         return changed
 
+    def record_zone_return(self, zone: str, revision: int, now: float) -> None:
+        """Treat the servers of a zone as cold until they report after its return."""
+        if not self._zone_returns.record(zone, revision, now):
+            return
+        for target in self._targets.values():
+            if target.zone == zone:
+                self._presume_cold(target)
+
     def remove_source(self, host: str, now: float) -> list[RegisteredTarget]:
         """Discard the reports of a control host and return the servers that changed.
 
@@ -253,17 +271,26 @@
         target.state = newest.state
         target.slots = newest.slots
         target.endpoint = (newest.host, newest.port)
-        # Never move the deadline to an earlier time: the entry host also extends it
-        # when a zone returns to service, because the zone's servers then count as cold
-        # whatever their last heartbeats reported.
         cold_deadline = now + newest.cold_remaining_seconds
+        if newest.known_return_revision > target.known_return_revision:
+            # The first report after a return of the zone replaces the presumption.
+            target.known_return_revision = newest.known_return_revision
+            target.cold_deadline = cold_deadline
         target.cold_deadline = max(target.cold_deadline, cold_deadline)
+        self._presume_cold(target)
         return target if has_changed else None
 
+    def _presume_cold(self, target: RegisteredTarget) -> None:
+        deadline = self._zone_returns.presumed_cold_until(
+            target.zone, target.service, target.known_return_revision
+        )
+        target.cold_deadline = max(target.cold_deadline, deadline)
+
     def _add(self, heartbeat: Heartbeat, now: float) -> RegisteredTarget:
         self._version += 1
         target = RegisteredTarget(heartbeat)
         target.cold_deadline = now + heartbeat.cold_remaining_seconds
+        self._presume_cold(target)
         target.changed_at = now
         previous = self._targets.get(heartbeat.name)
         if previous is not None:
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -7,6 +7,8 @@
 from random import Random
 from typing import Protocol
 
+import msgspec
+
 from kingcuppulley.backend_servers.heartbeat_table import HeartbeatTable
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
 from kingcuppulley.control.ensemble_host import EnsembleHost
@@ -224,7 +226,7 @@
             "order", order="configuration", outcome="refused", reason=reason
         )
 
-    def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
+    def receive_heartbeat(self, heartbeat: Heartbeat, caller: Caller) -> None:
         """Process a heartbeat.
 
         If the server gets no new flows any more, updates to subscribed hosts are sent
@@ -232,6 +234,11 @@
         """
         self._last_heartbeat_at = self._clock()
         self._metrics.count("heartbeats")
+        known_return_revision = self._known_return_revision(heartbeat.zone, caller)
+        if known_return_revision:
+            heartbeat = msgspec.structs.replace(
+                heartbeat, known_return_revision=known_return_revision
+            )
         if self._heartbeat_table.receive_heartbeat(heartbeat, self._last_heartbeat_at):
             self._log.event(
                 "backend server heartbeat",
@@ -378,6 +385,18 @@
             zone_order.may_apply if zone_order is not None else _always_applies,
         )
 
+    def _known_return_revision(self, zone: str, caller: Caller) -> int:
+        """Return the last return of a zone that a heartbeat is certainly sent after."""
+        ensemble = self._ensemble
+        # After a restart the state that was accepted before is known at once.
+        state = ensemble.current or ensemble.voter.vote.state
+        revision = state.zone_return_revision(zone)
+        if not revision:
+            return 0
+        now = self._clock()
+        sent_after = self._receipts.earliest_sending(caller.began_at, now)
+        return revision if revision <= self._receipts.revision_at(sent_after) else 0
+
     def _handle_subscription(
         self, subscription: SubscribeToControl | SubscribeToRelay, now: float
     ) -> None:
@@ -422,8 +441,11 @@
         ):
             self._updates.greet(subscription.address, now)
             return
+        number = (
+            subscription.number if isinstance(subscription, SubscribeToRelay) else 0
+        )
         self._updates.answer(
-            subscription.address, subscriber, self._relayed.sources, now
+            subscription.address, subscriber, self._relayed.sources, now, number
         )
 
     def _own_host_list(self) -> HostList:
--- a/src/kingcuppulley/control/state.py
+++ b/src/kingcuppulley/control/state.py
@@ -58,13 +58,15 @@
 
 
 class ZoneHistory(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the revision of the last order for a zone.
+    """Hold the revision of the last order for a zone, and that of its last return.
 
-    An order that repeats the one before counts, too.
+    An order that repeats the one before counts as an order, too.  `return_revision` is
+    that of the last order that put the zone back into service, and 0 if there was none.
     """
 
     zone: str
     order_revision: int
+    return_revision: int = 0
 
 
 class RoutingState(msgspec.Struct, frozen=True, array_like=True):
@@ -90,6 +92,11 @@
         history = self._zone_history(zone)
         return history.order_revision if history is not None else 0
 
+    def zone_return_revision(self, zone: str) -> int:
+        """Return the revision at which a zone last returned, or 0 if it never did."""
+        history = self._zone_history(zone)
+        return history.return_revision if history is not None else 0
+
     def _zone_history(self, zone: str) -> ZoneHistory | None:
         for history in self.zone_histories:
             if history.zone == zone:
@@ -148,14 +155,17 @@
     """Return the change that takes a zone out of service, or puts it back."""
 
     def change(state: RoutingState) -> RoutingState:
+        # That of the state which this change is part of.
+        revision = state.revision + 1
+        return_revision = state.zone_return_revision(zone)
         zones = set(state.zones_out)
-        if in_service:
-            zones.discard(zone)
-        else:
+        if not in_service:
             zones.add(zone)
+        elif zone in zones:
+            zones.discard(zone)
+            return_revision = revision
         others = [entry for entry in state.zone_histories if entry.zone != zone]
-        # The revision of the state that this change is part of.
-        history = ZoneHistory(zone, state.revision + 1)
+        history = ZoneHistory(zone, revision, return_revision)
         return msgspec.structs.replace(
             state,
             zones_out=tuple(sorted(zones)),
--- a/src/kingcuppulley/control/update_sender.py
+++ b/src/kingcuppulley/control/update_sender.py
@@ -178,10 +178,16 @@
         subscriber: Subscriber,
         relayed: Iterable[UpdateSource],
         now: float,
+        number: int = 0,
     ) -> None:
-        """Send a subscriber what it lacks, or an update without changes."""
+        """Send a subscriber what it lacks, or an update without changes.
+
+        `number` is that of the subscription.
+        """
         live_hosts = self._group.live_hosts(now)
         message = self._build(subscriber, list(relayed), live_hosts, now)
+        if number and isinstance(message, RelayedUpdate):
+            message = msgspec.structs.replace(message, answered_number=number)
         self._record_sent(subscriber, message, now)
         self._transport.send(address, message)
 
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -34,6 +34,7 @@
     SubscribeToControl,
     SubscribeToRelay,
 )
+from kingcuppulley.entry_hosts.state_confirmation import StateConfirmation
 from kingcuppulley.fabric.cookie_router import CookieRouter, CookieTransport
 from kingcuppulley.fabric.egress_queue import LOWEST_PRIORITY
 from kingcuppulley.fabric.formats import PacketFormat
@@ -50,7 +51,6 @@
 
 SUBSCRIPTION_INTERVAL_SECONDS = 0.25
 FETCH_RETRY_INTERVAL_SECONDS = 0.15
-COLD_START_MARGIN_SECONDS = 0.5
 
 
 class EntryLog(Protocol):
@@ -109,7 +109,8 @@
         self._has_left = False
         self._now = 0.0
         self._routing_table = RoutingTable()
-        self._registry = TargetRegistry()
+        self._registry = TargetRegistry(self._cold_seconds_of)
+        self._confirmation = StateConfirmation(generator)
         self._coordinators = CoordinatorTable(address, zone)
         self._placement = Placement(
             zone,
@@ -212,9 +213,15 @@
         """Leave the rotation: `is_ready` is false from now on."""
         self._has_left = True
 
+    def packet_from_fabric(self, packet: bytes, now: float) -> None:
+        """Route one packet that a caller sent."""
+        self._record_activity(now)
+        self._router.packet_from_fabric(packet, now)
+
     def receive(self, address: str, message: object, now: float) -> None:
         """Handle one message of another process."""
         self._now = now
+        self._record_activity(now)
         match message:
             case ForwardPacket():
                 self._router.forward_for_host(message.packet, now)
@@ -247,6 +254,8 @@
     def tick(self, now: float) -> None:
         """Act on every deadline that has passed."""
         self._now = now
+        self._record_activity(now)
+        self._update_confirmation(now)
         self._router.tick(now)
         self._request_state(now)
         if now >= self._subscription_deadline:
@@ -263,6 +272,17 @@
             self._update_placement_zones(now)
             self._load_reporter.send(self._routing_table.service_names(), now)
 
+    def _record_activity(self, now: float) -> None:
+        """Treat all servers as cold after a pause until the state is confirmed."""
+        if self._confirmation.record_activity(now):
+            self._log.event_unthrottled("paused", revision=self._revision)
+            self._update_confirmation(now)
+            self._subscribe_to_relay()
+
+    def _update_confirmation(self, now: float) -> None:
+        is_pending = self._confirmation.is_pending(self._revision, now)
+        self._placement.choice.set_state_pending(is_pending)
+
     def _change_relay(self, now: float) -> None:
         """Follow another control host if that is better now."""
         previous_relay = self._control.relay
@@ -288,6 +308,7 @@
             self._is_leaving,
             [position for position in positions if position.instance],
             self._capacity,
+            self._confirmation.number,
         )
         self._send(relay, subscription)
 
@@ -322,6 +343,10 @@
             self._request_host_list(update, relay, True, now)
         if any(update.has_more for update in message.updates):
             self._subscribe_to_relay()
+        self._confirmation.receive_answer(
+            message.answered_number, relay_update.revision
+        )
+        self._update_confirmation(now)
         self._change_relay(now)
         self._finish_update(now)
 
@@ -444,9 +469,18 @@
                 state.earlier_services,
             )
         zones_out = frozenset(state.zones_out)
-        self._treat_as_cold(self._zones_out - zones_out, now)
+        for zone in self._zones_out - zones_out:
+            # States that control hosts of an earlier build proposed name no returns.
+            self._registry.record_zone_return(
+                zone, state.zone_return_revision(zone) or state.revision, now
+            )
+        for history in state.zone_histories:
+            self._registry.record_zone_return(
+                history.zone, history.return_revision, now
+            )
         self._zones_out = zones_out
         self._update_placement_zones(now)
+        self._update_confirmation(now)
         self._log.event_unthrottled(
             "state in force",
             revision=state.revision,
@@ -455,14 +489,9 @@
         )
         self._update_readiness()
 
-    def _treat_as_cold(self, zones: frozenset[str], now: float) -> None:
-        """Treat servers of zones back in service as cold, whatever they reported."""
-        for target in self._registry.targets:
-            if target.zone in zones:
-                service = self._routing_table.service(target.service)
-                seconds = service.cold_seconds if service is not None else 0.0
-                deadline = now + seconds + COLD_START_MARGIN_SECONDS
-                target.cold_deadline = max(target.cold_deadline, deadline)
+    def _cold_seconds_of(self, name: str) -> float:
+        service = self._routing_table.service(name)
+        return service.cold_seconds if service is not None else 0.0
 
     def _update_placement_zones(self, now: float) -> None:
         self._placement.choice.update_zones(
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -58,7 +58,7 @@
 class SubscribeToRelay(msgspec.Struct, frozen=True, array_like=True, tag="fy"):
     """Ask a control host for what changed at all control hosts since some positions.
 
-    `capacity` is that of `EntryHostInfo`.
+    `capacity` is that of `EntryHostInfo`.  The answer names `number` unless it is 0.
     """
 
     address: str
@@ -67,6 +67,7 @@
     is_leaving: bool
     positions: list[SourcePosition]
     capacity: int = 0
+    number: int = 0
 
 
 class FetchHosts(msgspec.Struct, frozen=True, array_like=True, tag="fh"):
@@ -124,10 +125,13 @@
     `updates` starts with the relay's own update.  The others name no control hosts and
     no revision: the relay follows the routing state itself.  `ages_ms` says for each
     update how long ago the relay received a message from that control host.
+    `answered_number` is that of the subscription that this update answers; it is 0 in
+    other updates, and in all those of earlier builds.
     """
 
     updates: list[ControlUpdate]
     ages_ms: list[int]
+    answered_number: int = 0
 
 
 class PlaceFlow(msgspec.Struct, frozen=True, array_like=True, tag="pf"):
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -65,6 +65,7 @@
         self._zone_answered_at: dict[str, float] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._unreachable_zones: frozenset[str] = frozenset()
+        self._is_state_pending = False
         self._may_place_on_cold: Callable[[RegisteredTarget], bool] = lambda _: True
         self._speeds = ServerSpeeds(self._move_changed, self._handle_slow)
         self._on_slow: Callable[[RegisteredTarget, ServerSpeed], None] = lambda *_: None
@@ -96,6 +97,12 @@
         self._zones_out = out_of_service
         self._unreachable_zones = unreachable
 
+    def set_state_pending(self, is_pending: bool) -> None:
+        """Treat every server as cold while the known state may be outdated."""
+        if is_pending != self._is_state_pending:
+            self._is_state_pending = is_pending
+            self._indexes.clear()
+
     def set_cold_start_filter(
         self, may_place_on_cold: Callable[[RegisteredTarget], bool]
     ) -> None:
@@ -146,7 +153,7 @@
         """Delay the next flow of a server that is cold or in an unreachable zone."""
         load = self.load(target.cookie)
         self._probes.record_placement(load, now)
-        if now < target.cold_deadline:
+        if now < target.cold_deadline or self._is_state_pending:
             load.next_placement_at = now + COLD_SERVER_MINIMUM_INTERVAL_SECONDS
         elif self._rank(target, load, now) == UNREACHABLE_ZONE_RANK:
             load.next_placement_at = now + UNREACHABLE_ZONE_PROBE_INTERVAL_SECONDS
@@ -356,7 +363,7 @@
             answered_at = self._zone_answered_at.get(target.zone, float("-inf"))
             if now - answered_at > ZONE_ANSWER_VALIDITY_SECONDS:
                 return UNREACHABLE_ZONE_RANK
-        if now < target.cold_deadline:
+        if now < target.cold_deadline or self._is_state_pending:
             return COLD_RANK
         if now < load.suspicion_deadline:
             return SUSPECT_RANK
--- a/src/kingcuppulley/platform/calls.py
+++ b/src/kingcuppulley/platform/calls.py
@@ -115,7 +115,7 @@
             self._metrics.count("heartbeats_refused")
             answer_fault(request, 400, "heartbeat", str(error))
             return
-        self._host.receive_heartbeat(heartbeat)
+        self._host.receive_heartbeat(heartbeat, request)
         answer_json(request, 200, _Acknowledgement())
 
     def _handle_zone_request(self, request: HttpRequest, subpath: str) -> None:
--- a/src/kingcuppulley/seeded/entry.py
+++ b/src/kingcuppulley/seeded/entry.py
@@ -229,7 +229,7 @@
         self._loop.stop()
 
     def _route_packet(self, packet: bytes) -> None:
-        self._host.router.packet_from_fabric(packet, self._clock.now())
+        self._host.packet_from_fabric(packet, self._clock.now())
 
     def _receive_message(self, address: str, message: object) -> None:
         self._host.receive(address, message, self._clock.now())
--- a/tests/control_traffic.py
+++ b/tests/control_traffic.py
@@ -16,7 +16,7 @@
 from tests.cover.test_control_subscription import DiscardingLog, decode
 from tests.cover.test_cookie_router import Recorder, WordPacketFormat
 from tests.ensemble_cluster import FakeDisk
-from tests.seeded_fakes import heartbeat
+from tests.seeded_fakes import WaitingCaller, heartbeat
 
 STEP_SECONDS = 0.02
 HEARTBEAT_SECONDS = 1.0
@@ -204,5 +204,6 @@
         self._sequences[name] += 1
         state = ServingState.DRAINING if name in self._draining else ServingState.READY
         self.controls[control].receive_heartbeat(
-            heartbeat(name, sequence=self._sequences[name], zone=zone, state=state)
+            heartbeat(name, sequence=self._sequences[name], zone=zone, state=state),
+            WaitingCaller(self.now),
         )
--- a/tests/cover/test_control_subscription.py
+++ b/tests/cover/test_control_subscription.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from kingcuppulley.backend_servers.heartbeats import ServingState
+from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
 from kingcuppulley.backend_servers.target_registry import derive_cookie
 from kingcuppulley.control.ensemble_host import initial_vote
 from kingcuppulley.control.seeded_host import SeededControlHost
@@ -126,6 +126,10 @@
             elif destination in self.entries:
                 self.entries[destination].receive(source, message, self.now)
 
+    def send_heartbeat(self, server: Heartbeat) -> None:
+        """Let the control host receive a heartbeat that was just sent."""
+        self.control.receive_heartbeat(server, WaitingCaller(self.now))
+
     def configure(self, version: int, services: str = "order-desk") -> None:
         results = []
         document = f"{version} {services}".encode()
@@ -151,7 +155,7 @@
     deployment = Deployment(seed)
     deployment.run(0.5)
     deployment.configure(1)
-    deployment.control.receive_heartbeat(heartbeat("i-1"))
+    deployment.send_heartbeat(heartbeat("i-1"))
     deployment.run(1.0)
     return deployment
 
@@ -162,7 +166,7 @@
     assert not any(entry.is_ready for entry in deployment.entries.values())
     deployment.configure(1)
     assert not any(entry.is_ready for entry in deployment.entries.values())
-    deployment.control.receive_heartbeat(heartbeat("i-1"))
+    deployment.send_heartbeat(heartbeat("i-1"))
     deployment.run(0.1)
     assert all(entry.is_ready for entry in deployment.entries.values())
 
@@ -177,9 +181,7 @@
 
 def test_an_update_of_a_server_is_sent_before_its_heartbeat_is_acknowledged():
     deployment = ready_deployment()
-    deployment.control.receive_heartbeat(
-        heartbeat("i-1", sequence=2, state=ServingState.DRAINING)
-    )
+    deployment.send_heartbeat(heartbeat("i-1", sequence=2, state=ServingState.DRAINING))
     recipients = {
         destination
         for _, destination, message in deployment.in_flight
@@ -191,9 +193,7 @@
 def test_a_lost_update_arrives_with_the_next_subscription():
     deployment = ready_deployment()
     deployment.loss = 1.0
-    deployment.control.receive_heartbeat(
-        heartbeat("i-1", sequence=2, state=ServingState.DRAINING)
-    )
+    deployment.send_heartbeat(heartbeat("i-1", sequence=2, state=ServingState.DRAINING))
     deployment.configure(2, "drawing-store")
     deployment.loss = 0.0
     deployment.run(1.0)
@@ -224,13 +224,13 @@
 
 def test_a_restarted_host_gets_all_servers_after_an_update_for_its_previous_process():
     deployment = ready_deployment()
-    deployment.control.receive_heartbeat(heartbeat("i-2"))
+    deployment.send_heartbeat(heartbeat("i-2"))
     deployment.run(0.5)
     restarted = deployment.entries[ENTRY_HOSTS[0]] = deployment.start_entry(
         ENTRY_HOSTS[0]
     )
     # The control host does not know yet that the entry host has restarted.
-    deployment.control.receive_heartbeat(heartbeat("i-3"))
+    deployment.send_heartbeat(heartbeat("i-3"))
     deployment._deliver()
     deployment.run(1.0)
     known_names = {target.name for target in restarted._registry.targets}
@@ -259,7 +259,7 @@
 
 def test_servers_of_a_zone_back_in_service_are_treated_as_cold():
     deployment = ready_deployment()
-    deployment.control.receive_heartbeat(heartbeat("i-2", zone="zone-b"))
+    deployment.send_heartbeat(heartbeat("i-2", zone="zone-b"))
     results = []
     caller = WaitingCaller(deployment.now)
     deployment.control.set_zone("zone-b", False, results.append, caller)
@@ -278,7 +278,7 @@
 def test_flows_of_an_earlier_service_survive_a_restart_of_every_entry_host():
     """A route is sent to another service, and its open flows stay where they are."""
     deployment = ready_deployment()
-    deployment.control.receive_heartbeat(
+    deployment.send_heartbeat(
         heartbeat("i-2", service="drawing-store", host="10.0.0.2")
     )
     deployment.configure(2, "drawing-store")
@@ -314,7 +314,7 @@
     deployment = ready_deployment()
     deployment.sent.clear()
     for sequence in range(2, 7):
-        deployment.control.receive_heartbeat(heartbeat("i-1", sequence=sequence))
+        deployment.send_heartbeat(heartbeat("i-1", sequence=sequence))
         deployment.run(1.0)
     received = [
         message for _, destination, message in deployment.sent if destination == "a1"
--- a/tests/cover/test_old_orders.py
+++ b/tests/cover/test_old_orders.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.pausable_network import PausableNetwork
-from tests.seeded_fakes import heartbeat
+from tests.seeded_fakes import WaitingCaller, heartbeat
 
 PAUSE_SECONDS = 4.0
 
@@ -151,12 +151,14 @@
     # host read the leave of its previous start after the heartbeat of the present one.
     network = PausableNetwork()
     paused = network.control_names[2]
-    network.controls[paused].receive_heartbeat(heartbeat("i-1", incarnation=1))
+    network.controls[paused].receive_heartbeat(
+        heartbeat("i-1", incarnation=1), WaitingCaller(network.now)
+    )
     network.pause(paused)
     network.run(PAUSE_SECONDS)
     network.resume(paused)
     host = network.controls[paused]
-    host.receive_heartbeat(heartbeat("i-1", incarnation=2))
+    host.receive_heartbeat(heartbeat("i-1", incarnation=2), WaitingCaller(network.now))
     network.leave(paused, "i-1", began_at=network.now)
     assert [server.name for server in host.servers_to_store() or []] == ["i-1"]
 
@@ -165,7 +167,9 @@
     # Guards against a server that left and still gets new flows.
     network = PausableNetwork()
     name = network.control_names[0]
-    network.controls[name].receive_heartbeat(heartbeat("i-1", incarnation=1))
+    network.controls[name].receive_heartbeat(
+        heartbeat("i-1", incarnation=1), WaitingCaller(network.now)
+    )
     network.run(0.5)
     network.leave(name, "i-1", began_at=network.now)
     assert network.controls[name].servers_to_store() in (None, [])
--- a/tests/cover/test_restored_servers.py
+++ b/tests/cover/test_restored_servers.py
@@ -135,7 +135,7 @@
     deployment = Deployment()
     deployment.configure(1)
     for server in SERVERS:
-        deployment.control.receive_heartbeat(server)
+        deployment.send_heartbeat(server)
     deployment.run(2 * SERVER_LIST_INTERVAL_SECONDS)
     stored = deployment.control.servers_to_store()
     assert stored == SERVERS
@@ -153,7 +153,7 @@
     entry.router.packet_from_fabric(b"other open 0", deployment.now)
     assert [endpoint for _, endpoint in sent.to_targets] == [("10.0.0.2", 80)]
 
-    deployment.control.receive_heartbeat(heartbeat("i-1", sequence=2))
+    deployment.send_heartbeat(heartbeat("i-1", sequence=2))
     deployment.run(0.3)
     entry.router.packet_from_fabric(b"third open 0", deployment.now)
     deployment.run(0.1)
@@ -164,7 +164,7 @@
 
 def test_a_failed_list_is_written_again_although_no_server_changed():
     deployment = Deployment()
-    deployment.control.receive_heartbeat(SERVERS[0])
+    deployment.send_heartbeat(SERVERS[0])
     assert deployment.control.servers_to_store() == SERVERS[:1]
     deployment.control.servers_not_stored()
     deployment.run(SERVER_LIST_INTERVAL_SECONDS)
