Bound what hosts decode, so that one odd entry ends or stops nothing

A document that is nested 1,000 deep, also in a field that is not read, or a `timeout_ms` of 400 digits closed the connection without an answer (`RecursionError`, `OverflowError`). A datagram with an address without a port, a port of 70,000, an empty list of updates, or a time that is no number was accepted and then failed in a handler, or each time that an update was to be sent. A routing state whose configuration cannot be decompressed counted as active: the entry host did not ask for it again.

Cause: decoders checked types only, and caught only the library's own error.

Change: the types of fields (`internal/field_types.py`) bound numbers, durations, names, addresses and ports of all messages between hosts that start from seeds, and of what they store; `DECODING_ERRORS` names all that a decoder raises. Limits of a configuration are checked before it is proposed, and refused with 400 and the limit; one that an earlier build accepted stays active, with the nearest allowed value. A state is active only once its configuration is decoded.

--- a/src/kingcuppulley/backend_servers/heartbeats.py
+++ b/src/kingcuppulley/backend_servers/heartbeats.py
@@ -3,9 +3,20 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 
+from kingcuppulley.internal.field_types import (
+    Count,
+    IPv4Address,
+    Name,
+    Port,
+    Revision,
+    Seconds,
+    Slots,
+)
+
 
 class ServingState(StrEnum):
     """Name which flows a backend server may receive.
@@ -38,15 +49,15 @@
         heartbeat was sent, or earlier; 0 if none is known.
     """
 
-    name: str
-    packet_identity: bytes
-    service: str
-    zone: str
-    host: str
-    port: int
+    name: Name
+    packet_identity: Annotated[bytes, msgspec.Meta(min_length=8, max_length=8)]
+    service: Name
+    zone: Name
+    host: IPv4Address
+    port: Port
     state: ServingState
-    incarnation: int
-    sequence: int
-    slots: int
-    cold_remaining_seconds: float
-    known_return_revision: int = 0
+    incarnation: Count
+    sequence: Revision
+    slots: Slots
+    cold_remaining_seconds: Seconds
+    known_return_revision: Count = 0
--- a/src/kingcuppulley/control/ensemble_messages.py
+++ b/src/kingcuppulley/control/ensemble_messages.py
@@ -6,6 +6,7 @@
 
 from kingcuppulley.control.registers import Ballot
 from kingcuppulley.control.state import RoutingState
+from kingcuppulley.internal.field_types import Count, Name, PeerAddress, Revision
 
 
 class PrepareState(msgspec.Struct, frozen=True, array_like=True, tag="sp"):
@@ -25,7 +26,7 @@
     under `accepted`, and is None if the proposer knows it.
     """
 
-    disk_id: str
+    disk_id: Name
     ballot: Ballot
     granted: bool
     promised: Ballot
@@ -47,7 +48,7 @@
     higher.
     """
 
-    disk_id: str
+    disk_id: Name
     ballot: Ballot
     granted: bool
     promised: Ballot
@@ -56,7 +57,7 @@
 class ReadState(msgspec.Struct, frozen=True, array_like=True, tag="sr"):
     """Ask a voter for the state that it has accepted, for a read from a quorum."""
 
-    number: int
+    number: Count
     known_ballot: Ballot
 
 
@@ -66,8 +67,8 @@
     `state` is None if the proposer knows the state accepted under `accepted`.
     """
 
-    disk_id: str
-    number: int
+    disk_id: Name
+    number: Count
     accepted: Ballot
     state: RoutingState | None
 
@@ -85,18 +86,18 @@
     `revision` is the newest that is known to be chosen, or -1.
     """
 
-    host: str
-    disk_id: str
-    zone: str
+    host: PeerAddress
+    disk_id: Name
+    zone: Name
     is_leaving: bool
-    revision: int
-    live_hosts: list[str]
+    revision: Revision
+    live_hosts: list[PeerAddress]
 
 
 class FetchState(msgspec.Struct, frozen=True, array_like=True, tag="fs"):
     """Ask for the chosen state if it is newer than `revision`."""
 
-    revision: int
+    revision: Revision
 
 
 class ChosenState(msgspec.Struct, frozen=True, array_like=True, tag="cs"):
--- a/src/kingcuppulley/control/registers.py
+++ b/src/kingcuppulley/control/registers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from kingcuppulley.internal.field_types import Count, Name
 from kingcuppulley.internal.rendezvous import hash_bytes
 
 # How many answered changes a register stores; older ones are removed.
@@ -20,9 +21,9 @@
     that is drawn at each start, and `boot` is 0.
     """
 
-    counter: int = 0
-    host: str = ""
-    boot: int = 0
+    counter: Count = 0
+    host: Name = ""
+    boot: Count = 0
 
 
 ZERO_BALLOT = Ballot()
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -48,6 +48,7 @@
     SubscribeToControl,
     SubscribeToRelay,
 )
+from kingcuppulley.errors import MalformedMessageError
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.operators.routing import (
     RoutingConfiguration,
@@ -216,9 +217,14 @@
 
     def document(self, state: RoutingState | None) -> bytes | None:
         """Return the configuration in a state, as the operator sent it, or None."""
-        if state is None or not state.configuration:
+        if state is None:
+            return None
+        try:
+            return state.document
+        except MalformedMessageError as error:
+            self._metrics.count("states_malformed")
+            self._log.event("state malformed", reason=str(error))
             return None
-        return zlib.decompress(state.configuration)
 
     def log_refused_configuration(self, reason: str) -> None:
         """Log a configuration that was refused as invalid."""
--- a/src/kingcuppulley/control/state.py
+++ b/src/kingcuppulley/control/state.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable, Container, Iterable
 
 import msgspec
 
 from kingcuppulley.control.registers import Ballot
+from kingcuppulley.errors import MalformedMessageError
+from kingcuppulley.internal.field_types import Count, Name, PeerAddress, Revision
+
+# As large as the body of a request.
+MAXIMUM_DOCUMENT_BYTES = 4 * 1024 * 1024
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -16,8 +22,8 @@
     disk thus becomes another member, and cannot vote as the one whose votes are lost.
     """
 
-    disk_id: str
-    host: str
+    disk_id: Name
+    host: PeerAddress
 
 
 class VoterSet(msgspec.Struct, frozen=True, array_like=True):
@@ -54,7 +60,7 @@
     """
 
     key: bytes
-    services: tuple[str, ...]
+    services: tuple[Name, ...]
 
 
 class ZoneHistory(msgspec.Struct, frozen=True, array_like=True):
@@ -64,9 +70,9 @@
     that of the last order that put the zone back into service, and 0 if there was none.
     """
 
-    zone: str
-    order_revision: int
-    return_revision: int = 0
+    zone: Name
+    order_revision: Count
+    return_revision: Count = 0
 
 
 class RoutingState(msgspec.Struct, frozen=True, array_like=True):
@@ -79,14 +85,39 @@
     states of earlier builds have none.
     """
 
-    revision: int = 0
+    revision: Count = 0
     voters: VoterSet = VoterSet()
-    configuration_version: int = 0
+    configuration_version: Count = 0
     configuration: bytes = b""
-    zones_out: tuple[str, ...] = ()
+    zones_out: tuple[Name, ...] = ()
     earlier_services: tuple[EarlierServices, ...] = ()
     zone_histories: tuple[ZoneHistory, ...] = ()
 
+    @property
+    def document(self) -> bytes | None:
+        """Return the operator's document, or None without one.
+
+        Raises `MalformedMessageError` if the bytes are not a compressed document.
+        """
+        if not self.configuration:
+            return None
+        decompressor = zlib.decompressobj()
+        try:
+            document = decompressor.decompress(
+                self.configuration, MAXIMUM_DOCUMENT_BYTES
+            )
+        except zlib.error as error:
+            raise MalformedMessageError(
+                f"the configuration cannot be decompressed: {error}; send the "
+                "configuration with a higher version"
+            ) from error
+        if not decompressor.eof:
+            raise MalformedMessageError(
+                "the configuration is incomplete or larger than "
+                f"{MAXIMUM_DOCUMENT_BYTES} bytes; send one with a higher version"
+            )
+        return document
+
     def zone_order_revision(self, zone: str) -> int:
         """Return the revision of the last order for a zone, or 0 if there was none."""
         history = self._zone_history(zone)
@@ -107,7 +138,7 @@
 class ChosenVoters(msgspec.Struct, frozen=True, array_like=True):
     """Hold the voters of a revision that is known to be chosen."""
 
-    revision: int = -1
+    revision: Revision = -1
     voters: VoterSet = VoterSet()
 
 
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, Protocol
@@ -35,6 +34,7 @@
     SubscribeToRelay,
 )
 from kingcuppulley.entry_hosts.state_confirmation import StateConfirmation
+from kingcuppulley.errors import InvalidConfigurationError, MalformedMessageError
 from kingcuppulley.fabric.cookie_router import CookieRouter, CookieTransport
 from kingcuppulley.fabric.egress_queue import LOWEST_PRIORITY
 from kingcuppulley.fabric.formats import PacketFormat
@@ -459,15 +459,13 @@
     def _apply_state(self, state: RoutingState, now: float) -> None:
         if state.revision <= self._revision:
             return
+        try:
+            self._update_routes(state)
+        except (MalformedMessageError, InvalidConfigurationError) as error:
+            self._metrics.count("states_malformed")
+            self._log.event("state malformed", reason=str(error))
+            return
         self._revision = state.revision
-        if (
-            state.configuration
-            and state.configuration_version > self._routing_table.version
-        ):
-            self._routing_table.update(
-                self._decode(zlib.decompress(state.configuration)),
-                state.earlier_services,
-            )
         zones_out = frozenset(state.zones_out)
         for zone in self._zones_out - zones_out:
             # States that control hosts of an earlier build proposed name no returns.
@@ -489,6 +487,13 @@
         )
         self._update_readiness()
 
+    def _update_routes(self, state: RoutingState) -> None:
+        if state.configuration_version <= self._routing_table.version:
+            return
+        document = state.document
+        if document is not None:
+            self._routing_table.update(self._decode(document), state.earlier_services)
+
     def _cold_seconds_of(self, name: str) -> float:
         service = self._routing_table.service(name)
         return service.cold_seconds if service is not None else 0.0
--- a/src/kingcuppulley/entry_hosts/seeded_messages.py
+++ b/src/kingcuppulley/entry_hosts/seeded_messages.py
@@ -8,9 +8,20 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from kingcuppulley.backend_servers.heartbeats import Heartbeat
+from kingcuppulley.internal.field_types import (
+    Cookie,
+    Count,
+    Milliseconds,
+    Name,
+    PeerAddress,
+    Revision,
+    Seconds,
+)
 
 
 class EntryHostInfo(msgspec.Struct, frozen=True, array_like=True):
@@ -21,10 +32,10 @@
     0 if it is not known, as in lists of earlier builds.
     """
 
-    address: str
-    zone: str
+    address: PeerAddress
+    zone: Name
     is_leaving: bool
-    capacity: int = 0
+    capacity: Count = 0
 
 
 class SubscribeToControl(msgspec.Struct, frozen=True, array_like=True, tag="fc"):
@@ -35,13 +46,13 @@
     `EntryHostInfo`.
     """
 
-    address: str
-    zone: str
+    address: PeerAddress
+    zone: Name
     is_ready: bool
     is_leaving: bool
-    instance: str
-    change_number: int
-    capacity: int = 0
+    instance: Name
+    change_number: Count
+    capacity: Count = 0
 
 
 class SourcePosition(msgspec.Struct, frozen=True, array_like=True):
@@ -50,9 +61,9 @@
     `instance` identifies the process of the control host; change numbers are its own.
     """
 
-    host: str
-    instance: str
-    change_number: int
+    host: PeerAddress
+    instance: Name
+    change_number: Count
 
 
 class SubscribeToRelay(msgspec.Struct, frozen=True, array_like=True, tag="fy"):
@@ -61,13 +72,13 @@
     `capacity` is that of `EntryHostInfo`.  The answer names `number` unless it is 0.
     """
 
-    address: str
-    zone: str
+    address: PeerAddress
+    zone: Name
     is_ready: bool
     is_leaving: bool
     positions: list[SourcePosition]
-    capacity: int = 0
-    number: int = 0
+    capacity: Count = 0
+    number: Count = 0
 
 
 class FetchHosts(msgspec.Struct, frozen=True, array_like=True, tag="fh"):
@@ -80,7 +91,7 @@
     `digest` identifies the list.
     """
 
-    digest: int
+    digest: Count
 
 
 class HostList(msgspec.Struct, frozen=True, array_like=True, tag="hl"):
@@ -89,7 +100,7 @@
     `digest` identifies the list, see `ControlUpdate.hosts_digest`.
     """
 
-    digest: int
+    digest: Count
     hosts: list[EntryHostInfo]
 
 
@@ -106,17 +117,17 @@
     zone of a control host that answers `SubscribeToRelay`; earlier builds leave it out.
     """
 
-    host: str
-    instance: str
-    since_change_number: int
-    change_number: int
+    host: PeerAddress
+    instance: Name
+    since_change_number: Count
+    change_number: Count
     has_more: bool
     targets: list[Heartbeat]
-    hosts_digest: int
-    control_hosts: list[str]
-    revision: int
-    discovery_remaining_ms: int
-    relay_zone: str = ""
+    hosts_digest: Count
+    control_hosts: list[PeerAddress]
+    revision: Revision
+    discovery_remaining_ms: Milliseconds
+    relay_zone: Name = ""
 
 
 class RelayedUpdate(msgspec.Struct, frozen=True, array_like=True, tag="cr"):
@@ -129,9 +140,9 @@
     other updates, and in all those of earlier builds.
     """
 
-    updates: list[ControlUpdate]
-    ages_ms: list[int]
-    answered_number: int = 0
+    updates: Annotated[list[ControlUpdate], msgspec.Meta(min_length=1)]
+    ages_ms: list[Milliseconds]
+    answered_number: Count = 0
 
 
 class PlaceFlow(msgspec.Struct, frozen=True, array_like=True, tag="pf"):
@@ -142,10 +153,10 @@
     """
 
     flow: bytes
-    service: str
-    retransmission: int
-    priority: int
-    objective_ms: int
+    service: Name
+    retransmission: Count
+    priority: Count
+    objective_ms: Milliseconds
     packet: bytes
 
 
@@ -171,8 +182,8 @@
     """
 
     flow: bytes
-    answer_seconds: float | None = None
-    cookie: int = 0
+    answer_seconds: Seconds | None = None
+    cookie: Cookie = 0
     route: bytes = b""
 
 
@@ -189,8 +200,8 @@
     `loads` holds pairs of a server's cookie and its number of open flows.
     """
 
-    zone: str
-    loads: list[tuple[int, int]]
+    zone: Name
+    loads: list[tuple[Cookie, Count]]
 
 
 class ForwardPacket(msgspec.Struct, frozen=True, array_like=True, tag="cp"):
--- a/src/kingcuppulley/internal/datagram_link.py
+++ b/src/kingcuppulley/internal/datagram_link.py
@@ -11,6 +11,7 @@
 
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.internal.datagram_socket import DatagramSocket
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 
 MAXIMUM_DATAGRAM_BYTES = 60_000
 
@@ -80,7 +81,7 @@
     def _receive(self, datagram: bytes, sender: tuple[str, int]) -> None:
         try:
             message = self._decoder.decode(datagram)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             self._metrics.count("peer_messages_malformed")
             return
         self._on_message(f"{sender[0]}:{sender[1]}", message)
--- a/src/kingcuppulley/internal/message_codec.py
+++ b/src/kingcuppulley/internal/message_codec.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from kingcuppulley.errors import MalformedMessageError
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 
 Envelope = TypeVar("Envelope", bound=msgspec.Struct)
 
@@ -28,7 +29,7 @@
         """Return the envelope in `data`, or raise `MalformedMessageError`."""
         try:
             return self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             raise MalformedMessageError(
                 f"{error}; run the same version on every host"
             ) from error
--- a/src/kingcuppulley/platform/__main__.py
+++ b/src/kingcuppulley/platform/__main__.py
@@ -38,22 +38,25 @@
 def _build_entry(settings: SeededSettings, loop: asyncio.AbstractEventLoop) -> Daemon:
     # Each role imports only the modules that it needs: entry hosts restart often and
     # run on small machines.
-    from kingcuppulley.platform.documents import READY_PATH, decode_configuration
+    from kingcuppulley.platform.documents import (
+        READY_PATH,
+        decode_accepted_configuration,
+    )
     from kingcuppulley.platform.packets import PlatformPackets
     from kingcuppulley.seeded.entry import SeededEntryDaemon
 
     return SeededEntryDaemon(
-        settings, loop, PlatformPackets(), decode_configuration, READY_PATH
+        settings, loop, PlatformPackets(), decode_accepted_configuration, READY_PATH
     )
 
 
 def _build_control(settings: SeededSettings, loop: asyncio.AbstractEventLoop) -> Daemon:
     from kingcuppulley.platform.calls import build_control_handler
-    from kingcuppulley.platform.documents import decode_configuration
+    from kingcuppulley.platform.documents import decode_accepted_configuration
     from kingcuppulley.seeded.control import SeededControlDaemon
 
     return SeededControlDaemon(
-        settings, loop, decode_configuration, build_control_handler
+        settings, loop, decode_accepted_configuration, build_control_handler
     )
 
 
--- a/src/kingcuppulley/platform/documents.py
+++ b/src/kingcuppulley/platform/documents.py
@@ -6,11 +6,21 @@
 from __future__ import annotations
 
 import socket
+from typing import TypeVar
 
 import msgspec
 
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
 from kingcuppulley.errors import InvalidConfigurationError, InvalidHeartbeatError
+from kingcuppulley.internal.decoding import DECODING_ERRORS
+from kingcuppulley.internal.field_types import (
+    MAXIMUM_COUNT,
+    MAXIMUM_DURATION_MS,
+    MAXIMUM_DURATION_SECONDS,
+    MAXIMUM_NAME_BYTES,
+    MAXIMUM_PORT,
+    MAXIMUM_SLOTS,
+)
 from kingcuppulley.operators.routing import (
     Route,
     RoutedService,
@@ -19,13 +29,9 @@
 )
 
 READY_PATH = b"/kingcuppulley/ready"
-_MAXIMUM_PORT = 65_535
-# Largest value of numbers that processes exchange in 64 bits.
-_MAXIMUM_NUMBER = (1 << 63) - 1
-_MAXIMUM_SLOTS = 1_000_000
-# Longest name of a server, service or zone.  The servers of an update must fit one
-# datagram.
-_MAXIMUM_NAME_BYTES = 64
+# Bounds priorities and weights.
+_MAXIMUM_RANK = (1 << 31) - 1
+_MAXIMUM_REQUESTS_PER_SECOND = 1e9
 # Longest cold start that a server can report.
 _MAXIMUM_COLD_MS = 86_400_000.0
 _HEXADECIMAL_DIGITS = frozenset("0123456789abcdefABCDEF")
@@ -85,17 +91,63 @@
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_Heartbeat)
+_Number = TypeVar("_Number", int, float)
 _SERVING_STATES = {"ready": ServingState.READY, "draining": ServingState.DRAINING}
 
 
 def decode_configuration(document: bytes) -> RoutingConfiguration:
     """Decode a configuration, or raise `InvalidConfigurationError`."""
+    decoded = _decode(document)
+    _check_limits(decoded)
+    return _build_configuration(decoded)
+
+
+def decode_accepted_configuration(document: bytes) -> RoutingConfiguration:
+    """Decode a configuration that was accepted, possibly by an earlier build.
+
+    Earlier builds did not check every limit.  A value beyond one is replaced by the
+    limit, so that the configuration stays active.  Raises `InvalidConfigurationError`
+    if the document is not a configuration.
+    """
+    return _build_configuration(_decode(document))
+
+
+def _decode(document: bytes) -> _Configuration:
     try:
-        decoded = _CONFIGURATION_DECODER.decode(document)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _CONFIGURATION_DECODER.decode(document)
+    except DECODING_ERRORS as error:
         remedy = f"{error}; send the complete configuration as JSON"
         raise InvalidConfigurationError("body", remedy) from error
-    if not 0 < decoded.version <= _MAXIMUM_NUMBER:
+
+
+def _check_limits(configuration: _Configuration) -> None:
+    """Raise `InvalidConfigurationError` for a value that processes cannot use."""
+    for route in configuration.routes:
+        for field, number, maximum in (
+            ("timeout_ms", route.timeout_ms, MAXIMUM_DURATION_MS),
+            ("slo_ms", route.slo_ms, MAXIMUM_DURATION_MS),
+            ("priority", route.priority, _MAXIMUM_RANK),
+            *(("weight", share.weight, _MAXIMUM_RANK) for share in route.split or []),
+        ):
+            if not 0 <= number <= maximum:
+                remedy = f"use {field} from 0 to {maximum}"
+                raise InvalidConfigurationError(f"route {route.name}", remedy)
+    for service in configuration.services:
+        location = f"service {service.name}"
+        if not 0 < len(service.name.encode()) <= MAXIMUM_NAME_BYTES:
+            remedy = f"use a name of 1 to {MAXIMUM_NAME_BYTES} bytes"
+            raise InvalidConfigurationError(location, remedy)
+        for field, figure, most in (
+            ("warmup_s", service.warmup_s, float(MAXIMUM_DURATION_SECONDS)),
+            ("warmup_per_s", service.warmup_per_s, _MAXIMUM_REQUESTS_PER_SECOND),
+        ):
+            if not 0 <= figure <= most:
+                remedy = f"use {field} from 0 to {most:.0f}"
+                raise InvalidConfigurationError(location, remedy)
+
+
+def _build_configuration(decoded: _Configuration) -> RoutingConfiguration:
+    if not 0 < decoded.version <= MAXIMUM_COUNT:
         raise InvalidConfigurationError("version", "use a version from 1 to 2**63 - 1")
     service_names = {service.name for service in decoded.services}
     routes = tuple(_build_route(route, service_names) for route in decoded.routes)
@@ -108,7 +160,11 @@
         decoded.version,
         routes,
         tuple(
-            RoutedService(service.name, service.warmup_s, service.warmup_per_s)
+            RoutedService(
+                service.name,
+                _limit(service.warmup_s, float(MAXIMUM_DURATION_SECONDS)),
+                _limit(service.warmup_per_s, _MAXIMUM_REQUESTS_PER_SECOND),
+            )
             for service in decoded.services
         ),
     )
@@ -118,7 +174,7 @@
     """Decode the heartbeat of a named server, or raise `InvalidHeartbeatError`."""
     try:
         decoded = _HEARTBEAT_DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise InvalidHeartbeatError("body", f"{error}; send it as JSON") from error
     state = _SERVING_STATES.get(decoded.state)
     if state is None:
@@ -147,14 +203,14 @@
         ("service", heartbeat.service),
         ("zone", heartbeat.zone),
     ):
-        if not 0 < len(text.encode()) <= _MAXIMUM_NAME_BYTES:
-            remedy = f"use 1 to {_MAXIMUM_NAME_BYTES} bytes"
+        if not 0 < len(text.encode()) <= MAXIMUM_NAME_BYTES:
+            remedy = f"use 1 to {MAXIMUM_NAME_BYTES} bytes"
             raise InvalidHeartbeatError(field, remedy)
     for field, number in (("seq", heartbeat.seq), ("born", heartbeat.born)):
-        if not 0 <= number <= _MAXIMUM_NUMBER:
+        if not 0 <= number <= MAXIMUM_COUNT:
             raise InvalidHeartbeatError(field, "use a number from 0 to 2**63 - 1")
-    if not 0 < heartbeat.slots <= _MAXIMUM_SLOTS:
-        remedy = f"use 1 to {_MAXIMUM_SLOTS} slots"
+    if not 0 < heartbeat.slots <= MAXIMUM_SLOTS:
+        remedy = f"use 1 to {MAXIMUM_SLOTS} slots"
         raise InvalidHeartbeatError("slots", remedy)
     if not heartbeat.warmup_left_ms <= _MAXIMUM_COLD_MS:
         raise InvalidHeartbeatError("warmup_left_ms", "use a day at most")
@@ -190,9 +246,9 @@
         route.name,
         _build_route_key(route),
         shares,
-        route.timeout_ms / 1000,
-        route.slo_ms / 1000,
-        route.priority,
+        _limit(route.timeout_ms, MAXIMUM_DURATION_MS) / 1000,
+        _limit(route.slo_ms, float(MAXIMUM_DURATION_MS)) / 1000,
+        _limit(route.priority, _MAXIMUM_RANK),
     )
 
 
@@ -205,7 +261,10 @@
                 f"route {route.name}",
                 "use split weights of 0 or higher, at least one above 0",
             )
-        return tuple(ServiceShare(share.service, share.weight) for share in route.split)
+        return tuple(
+            ServiceShare(share.service, _limit(share.weight, _MAXIMUM_RANK))
+            for share in route.split
+        )
     if route.service is None:
         raise InvalidConfigurationError(f"route {route.name}", "set service or split")
     return (ServiceShare(route.service, 1),)
@@ -220,7 +279,7 @@
             f"route {route.name}",
             "write host as an IPv4 address and path_prefix as /PORT/",
         ) from error
-    if not 0 < port <= _MAXIMUM_PORT:
+    if not 0 < port <= MAXIMUM_PORT:
         raise InvalidConfigurationError(
             f"route {route.name}", "use a port from 1 to 65535 in path_prefix"
         )
@@ -234,11 +293,16 @@
         number = _parse_digits(port)
     except (OSError, ValueError) as error:
         raise InvalidHeartbeatError("addr", "write it as ADDRESS:PORT") from error
-    if not 0 < number <= _MAXIMUM_PORT:
+    if not 0 < number <= MAXIMUM_PORT:
         raise InvalidHeartbeatError("addr", "use a port from 1 to 65535")
     return host, number
 
 
+def _limit(value: _Number, maximum: _Number) -> _Number:
+    """Return a value, or the nearest one from 0 to a maximum."""
+    return min(max(value, 0), maximum)
+
+
 def _parse_digits(text: str) -> int:
     """Return the number in a text of ASCII digits, or raise `ValueError`."""
     if not (text.isascii() and text.isdigit()):
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -12,7 +12,12 @@
 from kingcuppulley.backend_servers.change_log import MAXIMUM_UPDATE_TARGETS
 from kingcuppulley.backend_servers.heartbeats import Heartbeat
 from kingcuppulley.control.seeded_host import ControlMessage
-from kingcuppulley.entry_hosts.seeded_messages import EntryMessage, RelayedUpdate
+from kingcuppulley.control.state import RoutingState
+from kingcuppulley.entry_hosts.seeded_messages import (
+    EntryMessage,
+    PlaceFlow,
+    RelayedUpdate,
+)
 from kingcuppulley.errors import (
     InvalidConfigurationError,
     InvalidHeartbeatError,
@@ -23,7 +28,16 @@
     MAXIMUM_DATAGRAM_BYTES,
     DatagramLink,
 )
-from kingcuppulley.platform.documents import decode_configuration, decode_heartbeat
+from kingcuppulley.operators.routing import (
+    RoutingConfiguration,
+    RoutingTable,
+    find_earlier_services,
+)
+from kingcuppulley.platform.documents import (
+    decode_accepted_configuration,
+    decode_configuration,
+    decode_heartbeat,
+)
 from kingcuppulley.platform.packets import PlatformPackets
 
 MAXIMUM_UPDATE_FIELDS_BYTES = 2_000
@@ -51,7 +65,8 @@
     "service": "huvo11a",
     "split": None,
 }
-CONFIGURATION = {"version": 7, "routes": [ROUTE], "services": [{"name": "huvo11a"}]}
+SERVICE = {"name": "huvo11a", "warmup_s": 2.0, "warmup_per_s": 0.0}
+CONFIGURATION = {"version": 7, "routes": [ROUTE], "services": [SERVICE]}
 
 json_values = st.recursive(
     st.none()
@@ -84,16 +99,98 @@
     assert msgspec.msgpack.decode(encoded, type=Heartbeat) == heartbeat
 
 
-@settings(max_examples=300, deadline=None, derandomize=True, database=None)
-@given(
-    document=with_changes(CONFIGURATION)
+def use(configuration: RoutingConfiguration) -> None:
+    """Do with a configuration what hosts do with one that is active."""
+    table = RoutingTable()
+    assert table.update(configuration)
+    service_names = table.service_names()
+    for route in configuration.routes:
+        service = route.service_of(b"flow")
+        assert service in service_names
+        deadline = 1_790_000_000.0 + route.timeout_seconds + route.objective_seconds
+        assert 0 < deadline < float("inf")
+        objective_ms = round(route.objective_seconds * 1000)
+        message = PlaceFlow(b"flow", service, 0, route.priority, objective_ms, b"")
+        encoded = msgspec.msgpack.encode(message)
+        assert len(encoded) < MAXIMUM_UPDATE_FIELDS_BYTES
+        assert msgspec.msgpack.decode(encoded, type=PlaceFlow) == message
+    for configured in configuration.services:
+        assert 0 <= configured.cold_seconds < float("inf")
+    find_earlier_services(configuration, (), configuration)
+    version = configuration.version
+    state = RoutingState(configuration_version=version, revision=version)
+    msgspec.msgpack.decode(msgspec.msgpack.encode(state), type=RoutingState)
+
+
+configurations = (
+    with_changes(CONFIGURATION)
     | with_changes(ROUTE).map(lambda route: {**CONFIGURATION, "routes": [route]})
+    | with_changes(SERVICE).map(lambda one: {**CONFIGURATION, "services": [one]})
 )
-def test_a_configuration_is_refused_or_decoded(document):
-    try:
+
+
+@settings(max_examples=600, deadline=None, derandomize=True, database=None)
+@given(document=configurations)
+def test_a_configuration_is_refused_or_can_be_used(document):
+    # Guards against configurations that are acknowledged and then fail on each host.
+    body = json.dumps(document).encode()
+    for decode in (decode_configuration, decode_accepted_configuration):
+        try:
+            configuration = decode(body)
+        except InvalidConfigurationError:
+            continue
+        use(configuration)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("routes", 0, "timeout_ms"), 10**400),
+        (("routes", 0, "timeout_ms"), 10**12),
+        (("routes", 0, "slo_ms"), -1),
+        (("routes", 0, "slo_ms"), 1e300),
+        (("routes", 0, "priority"), -1),
+        (("routes", 0, "priority"), 1 << 70),
+        (("routes", 0, "split"), [{"service": "huvo11a", "weight": 1 << 70}]),
+        (("services", 0, "warmup_s"), -1.0),
+        (("services", 0, "warmup_s"), 1e308),
+        (("services", 0, "warmup_per_s"), -1.0),
+        (("version",), 1 << 63),
+    ],
+)
+def test_a_value_that_hosts_cannot_use_is_refused(path, value):
+    # Guards against `OverflowError` in a decoder, which closed the connection.
+    document = json.loads(json.dumps(CONFIGURATION))
+    container = document
+    for step in path[:-1]:
+        container = container[step]
+    container[path[-1]] = value
+    with pytest.raises(InvalidConfigurationError):
         decode_configuration(json.dumps(document).encode())
-    except InvalidConfigurationError:
-        return
+
+
+def test_a_configuration_that_an_earlier_build_accepted_stays_active():
+    # Guards against hosts that drop a stored configuration after an upgrade.
+    route = {**ROUTE, "slo_ms": -5, "priority": 1 << 70, "timeout_ms": 10**400}
+    service = {**SERVICE, "warmup_s": -1.0}
+    document = {**CONFIGURATION, "routes": [route], "services": [service]}
+    configuration = decode_accepted_configuration(json.dumps(document).encode())
+    use(configuration)
+    assert configuration.routes[0].objective_seconds == 0.0
+    assert configuration.services[0].cold_seconds == 0.0
+
+
+@pytest.mark.parametrize("opening", [b"[", b'{"a":'])
+@pytest.mark.parametrize("depth", [1_000, 100_000])
+def test_a_document_that_is_nested_deeply_is_refused(opening, depth):
+    # Guards against `RecursionError`, which closed the connection without an answer.
+    closing = b"]" if opening == b"[" else b"}"
+    nested = opening * depth + b"1" + closing * depth
+    for body in (nested, b'{"version":1,"unread":' + nested + b"}"):
+        with pytest.raises(InvalidConfigurationError):
+            decode_configuration(body)
+        with pytest.raises(InvalidHeartbeatError):
+            decode_heartbeat("i-7f", body)
 
 
 @settings(max_examples=200, deadline=None, derandomize=True, database=None)
