Refuse odd stored files, settings and announcements with a remedy

Seen: by tests of each decoder. A settings file with a number of 5,000 digits, deep nesting, a negative or endless duration, or an address that no socket takes ended the process with another error, or was accepted. An announcement with a port out of range or an incarnation beyond 64 bits was accepted and could not be sent on. A template with a null character in an address raised `ValueError`. `explain` ended at a log line that is nested deeply.

Change: the bounds of messages hold for announcements and settings too, stored files raise `StorageError` (the list of servers is empty then), and every decoder catches `DECODING_ERRORS`.

--- a/src/kingcuppulley/backend_servers/announcements.py
+++ b/src/kingcuppulley/backend_servers/announcements.py
@@ -9,6 +9,7 @@
 from kingcuppulley.backend_servers.records import Announcement, TargetRecord
 from kingcuppulley.entry_hosts.host import EntryHost
 from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 from kingcuppulley.internal.http_api import answer_fault, answer_json
 from kingcuppulley.internal.http_server import (
     ApiRequest,
@@ -37,7 +38,7 @@
         """
         try:
             announcement = msgspec.json.decode(read_body(request), type=Announcement)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             self._metrics.count("announcements_malformed")
             answer_fault(request, 400, str(error), "post a valid announcement")
             return
--- a/src/kingcuppulley/backend_servers/records.py
+++ b/src/kingcuppulley/backend_servers/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from kingcuppulley.internal.field_types import Count, IPv4Address, LongName, Port
+
 
 class TargetState(StrEnum):
     """Name the stages of a backend server from its start to its removal."""
@@ -25,16 +27,16 @@
     which the next coordinator continues.
     """
 
-    name: str
-    service: str
-    zone: str
-    host: str
-    request_port: int
-    packet_port: int
+    name: LongName
+    service: LongName
+    zone: LongName
+    host: IPv4Address
+    request_port: Port
+    packet_port: Port
     state: TargetState
-    incarnation: int
-    revision: int = 0
-    proven_slots: int = 0
+    incarnation: Count
+    revision: Count = 0
+    proven_slots: Count = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -52,11 +54,11 @@
 ):
     """Hold the body that a backend server posts to announce itself."""
 
-    name: str
-    service: str
-    zone: str
-    host: str
-    request_port: int
-    packet_port: int
-    incarnation: int
+    name: LongName
+    service: LongName
+    zone: LongName
+    host: IPv4Address
+    request_port: Port
+    packet_port: Port
+    incarnation: Count
     state: TargetState = TargetState.COLD
--- a/src/kingcuppulley/backend_servers/server_list_file.py
+++ b/src/kingcuppulley/backend_servers/server_list_file.py
@@ -18,6 +18,7 @@
 from kingcuppulley.backend_servers.heartbeats import Heartbeat
 from kingcuppulley.control.folders import sync_folder, write_new_file
 from kingcuppulley.errors import StorageError
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 
 # Length and CRC-32 of the list.
 _HEADER = struct.Struct("!II")
@@ -54,7 +55,7 @@
             return []
         try:
             return _DECODER.decode(payload)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             # Written by a build whose heartbeats have another form.
             return []
 
--- a/src/kingcuppulley/control/acceptor.py
+++ b/src/kingcuppulley/control/acceptor.py
@@ -18,6 +18,7 @@
 )
 from kingcuppulley.control.registers import ZERO_BALLOT, Ballot, Register
 from kingcuppulley.errors import StorageError
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 
 # The journal is rewritten once it is larger than both the minimum and the factor times
 # its size after the last rewrite or, before the first one, at the start.
@@ -98,6 +99,15 @@
     VOTING = "voting"
 
 
+def _decode_record(data: bytes) -> Record:
+    try:
+        return _DECODER.decode(data)
+    except DECODING_ERRORS as error:
+        # The checksum is right, so the record was written by another build.
+        reason = f"a record cannot be decoded by this version: {error}"
+        raise StorageError("journal", reason) from error
+
+
 class Acceptor:
     """Hold the durable state of one control host: its votes and chosen registers.
 
@@ -116,7 +126,7 @@
         self._votes = 0
         self._may_vote = False
         for data in journal.read():
-            self._apply(_DECODER.decode(data))
+            self._apply(_decode_record(data))
         self._failed_rewrites = 0
         self._next_rewrite_bytes = _rewrite_limit(journal.size_bytes)
         self._write([BootRecord(self._boot + 1, self._votes)])
--- a/src/kingcuppulley/control/vote_store.py
+++ b/src/kingcuppulley/control/vote_store.py
@@ -17,6 +17,7 @@
 )
 from kingcuppulley.control.state import Vote
 from kingcuppulley.errors import StorageError
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 
 # Generation, length and checksum of a vote.
 _HEADER = struct.Struct("!QII")
@@ -88,7 +89,13 @@
         payload = data[_HEADER.size : _HEADER.size + length]
         if len(payload) != length or _checksum(generation, payload) != checksum:
             return 0, None
-        return generation, msgspec.msgpack.decode(payload, type=Vote)
+        try:
+            return generation, msgspec.msgpack.decode(payload, type=Vote)
+        except DECODING_ERRORS as error:
+            # The checksum is right, so the vote was written by another build.  Without
+            # it this host must not vote again as the same voter.
+            reason = f"the vote cannot be decoded by this version: {error}"
+            raise StorageError(str(self._folder / _SLOTS[slot]), reason) from error
 
     def _open(self, slot: int) -> int:
         descriptor = self._descriptors.get(slot)
--- a/src/kingcuppulley/operators/administration.py
+++ b/src/kingcuppulley/operators/administration.py
@@ -18,6 +18,7 @@
 from kingcuppulley.control.replica import Replica
 from kingcuppulley.errors import KingcuppulleyError
 from kingcuppulley.internal.counters import METRICS_CONTENT_TYPE, Metrics
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 from kingcuppulley.internal.http_api import answer_fault, answer_json
 from kingcuppulley.internal.http_server import (
     ApiRequest,
@@ -273,7 +274,7 @@
                     f"{change.key!r} in the path"
                 )
             check_change(configuration, document)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             answer_fault(
                 request, 422, str(error), "correct the document and send it again"
             )
--- a/src/kingcuppulley/operators/command_line.py
+++ b/src/kingcuppulley/operators/command_line.py
@@ -447,7 +447,7 @@
     except (UnreachableError, EntryHostUnreachableError) as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(ExitCode.UNREACHABLE) from error
-    except (KingcuppulleyError, OSError, tomllib.TOMLDecodeError) as error:
+    except (KingcuppulleyError, OSError, ValueError, RecursionError) as error:
         typer.echo(str(error), err=True)
         raise typer.Exit(ExitCode.FAILED) from error
 
--- a/src/kingcuppulley/operators/configuration.py
+++ b/src/kingcuppulley/operators/configuration.py
@@ -8,6 +8,7 @@
 
 from kingcuppulley.control.registers import Register
 from kingcuppulley.errors import TemplateError
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 from kingcuppulley.model import ClientAccount, Service, Template, Zone
 from kingcuppulley.operators.templates import (
     TemplateFaults,
@@ -40,7 +41,7 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    msgspec.MsgspecError, RecursionError
         If the bytes are not a document of the kind that the key's prefix names.
     """
     if key.startswith(TEMPLATE_PREFIX):
@@ -66,7 +67,7 @@
             continue
         try:
             document = decode_document(register.key, register.document)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             faults.append(f"{register.key}: {error}")
             continue
         if isinstance(document, Template):
--- a/src/kingcuppulley/operators/placement_query.py
+++ b/src/kingcuppulley/operators/placement_query.py
@@ -13,6 +13,7 @@
     ExplainedServer,
     PlacementExplanation,
 )
+from kingcuppulley.internal.decoding import DECODING_ERRORS
 from kingcuppulley.internal.http_api import JSON_CONTENT_TYPE, Fault
 
 PLACEMENT_PATH = "/placement"
@@ -122,5 +123,5 @@
 def _decode(address: str, body: bytes, kind: type[_Answer]) -> _Answer:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise PlacementNotExplainedError(address) from error
--- a/src/kingcuppulley/operators/story.py
+++ b/src/kingcuppulley/operators/story.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from kingcuppulley.internal.decoding import DECODING_ERRORS
+
 _FLOW_KIND = "flow"
 _HEADER_FIELDS = ("message_type", "timestamp", "process")
 
@@ -77,7 +79,7 @@
         return None
     try:
         message: dict[str, Any] = msgspec.json.decode(line[begin:])
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
     kind = str(message.get("message_type", ""))
     if not kind.startswith("kingcuppulley:"):
--- a/src/kingcuppulley/operators/templates.py
+++ b/src/kingcuppulley/operators/templates.py
@@ -256,7 +256,8 @@
         return False
     try:
         socket.inet_pton(socket.AF_INET, value)
-    except OSError:
+    except (OSError, ValueError):
+        # A text with a null character or with letters beyond ASCII raises `ValueError`.
         return False
     return True
 
--- a/src/kingcuppulley/platform/settings.py
+++ b/src/kingcuppulley/platform/settings.py
@@ -7,14 +7,24 @@
 
 import os
 import tomllib
+from typing import Annotated
 
 import msgspec
 
 from kingcuppulley.errors import SettingsError, SettingsFaults
+from kingcuppulley.internal.field_types import (
+    IPv4Address,
+    Name,
+    PeerAddress,
+    Port,
+    PositiveMilliseconds,
+    Seconds,
+)
 from kingcuppulley.seeded_settings import SeededSettings, SocketAddress
 
 METRICS_PORT = 9464
-_MAXIMUM_PORT = 65_535
+# A majority that bears the loss of this many disks has one vote more.
+_MAXIMUM_DISK_LOSSES = 100
 _BYTES_PER_MEGABIT = 1_000_000 / 8
 SETTINGS_FILE_VARIABLE = "KINGCUPPULLEY_CONFIG"
 
@@ -30,7 +40,7 @@
 
 class _Tolerate(msgspec.Struct):
     # How many machines may be lost at a time; only machines with a disk count.
-    machines: int = 1
+    machines: Annotated[int, msgspec.Meta(ge=0, le=_MAXIMUM_DISK_LOSSES)] = 1
 
 
 class _Limits(msgspec.Struct):
@@ -43,28 +53,28 @@
 
 class _Bounds(msgspec.Struct):
     # How long after SIGTERM the process is killed.
-    grace_s: float = 6.0
+    grace_s: Seconds = 6.0
 
 
 class _Settings(msgspec.Struct):
     # Name of this host.
     node: str
     # Address at which other hosts and the metrics collector reach this host.
-    ip: str
-    zone: str
+    ip: IPv4Address
+    zone: Name
     # First and last port that the system's own processes may use.  The first one is the
     # port at which every host receives messages of other hosts.
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[Port, Port]
     # ADDRESS:PORT of some control hosts; the first of `internal_ports` is used instead
     # of the port.
     seeds: list[str]
     # Only the keys are used: the names of all zones.
-    zones: dict[str, str]
+    zones: dict[Name, str]
     listen: _Listen
     # Whether the whole deployment starts for the first time, with empty disks.
     bootstrap: bool = False
     # Interval between two heartbeats of a backend server.
-    heartbeat_ms: int = 1000
+    heartbeat_ms: PositiveMilliseconds = 1000
     data_dir: str = ""
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -81,13 +91,15 @@
     try:
         with open(file, "rb") as stream:
             data = tomllib.load(stream)
+        faults = _find_faults(file, data)
     except OSError as error:
         raise _single_fault(
             file, "file", error.strerror, "name a readable file"
         ) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
+        # Invalid TOML or UTF-8, a number with thousands of digits, or tables that are
+        # nested too deep.
         raise _single_fault(file, "file", str(error), "write valid TOML") from error
-    faults = _find_faults(file, data)
     if faults:
         raise SettingsFaults(f"{file} has faults", faults)
     decoded = msgspec.convert(data, _Settings)
@@ -138,7 +150,7 @@
         if address:
             addresses.append((f"listen.{field.name}", address))
     faults = [
-        SettingsError(file, key, address, "write it as ADDRESS:PORT, port 1 to 65535")
+        SettingsError(file, key, address, "write it as IPV4:PORT, port 1 to 65535")
         for key, address in addresses
         if not _is_address(address)
     ]
@@ -147,17 +159,15 @@
         if not 0 <= limit < float("inf"):
             remedy = "use a finite number that is not negative"
             faults.append(SettingsError(file, f"limits.{field.name}", limit, remedy))
-    for port in settings.internal_ports:
-        if not 0 < port <= _MAXIMUM_PORT:
-            remedy = "use ports from 1 to 65535"
-            faults.append(SettingsError(file, "internal_ports", port, remedy))
     return faults
 
 
 def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= _MAXIMUM_PORT
-    return bool(host) and is_port
+    try:
+        msgspec.convert(text, PeerAddress)
+    except msgspec.ValidationError:
+        return False
+    return True
 
 
 def _single_fault(file: str, key: str, value: object, remedy: str) -> SettingsFaults:
--- a/src/kingcuppulley/settings.py
+++ b/src/kingcuppulley/settings.py
@@ -10,10 +10,14 @@
 
 from kingcuppulley.entry_hosts.membership import HostAddress
 from kingcuppulley.errors import SettingsError, SettingsFaults
-
-Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
-Seconds = Annotated[float, msgspec.Meta(gt=0)]
-Bytes = Annotated[int, msgspec.Meta(ge=1)]
+from kingcuppulley.internal.field_types import (
+    MAXIMUM_COUNT,
+    MAXIMUM_DURATION_SECONDS,
+    Port,
+)
+
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=MAXIMUM_DURATION_SECONDS)]
+Bytes = Annotated[int, msgspec.Meta(ge=1, le=MAXIMUM_COUNT)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Settings = TypeVar("Settings", bound=msgspec.Struct)
 
@@ -139,13 +143,15 @@
     faults: list[SettingsError] = []
     try:
         data = tomllib.loads(file.read_text(encoding="utf-8"))
+        _check_struct(str(file), "", data, settings_type, faults)
     except OSError as error:
         remedy = "the file cannot be read; check its path and permissions"
         return None, [SettingsError(str(file), "file", error.strerror, remedy)]
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (ValueError, RecursionError) as error:
+        # Invalid TOML or UTF-8, a number with thousands of digits, or tables that are
+        # nested too deep.
         remedy = "write valid TOML, encoded as UTF-8"
         return None, [SettingsError(str(file), "file", str(error), remedy)]
-    _check_struct(str(file), "", data, settings_type, faults)
     if faults:
         return None, faults
     return msgspec.convert(data, settings_type), faults
