--- a/src/kingcuppulley/control/receipt_history.py
+++ b/src/kingcuppulley/control/receipt_history.py
@@ -17,7 +17,9 @@
 # What the network held up comes later: the sender's pause before it retransmits grows
 # with the time that it has waited, so it may be as long as the gap.
 READING_DELAY_SECONDS = 0.25
-RETENTION_SECONDS = 180.0
+REVISION_RETENTION_SECONDS = 180.0
+# A slow host has many gaps; old ones concern only connections without a request.
+GAP_RETENTION_SECONDS = 10.0
 
 
 class _Gap:
@@ -31,8 +33,15 @@
 
     def may_delay(self, at: float) -> bool:
         """Return whether a request that is first seen at a time may be from before."""
-        length = self.ended_at - self.began_at
-        return self.began_at < at <= self.ended_at + length + READING_DELAY_SECONDS
+        return self.began_at < at <= self._delays_until
+
+    def is_retained(self, now: float) -> bool:
+        """Return whether requests that are read now may still concern the gap."""
+        return now <= self._delays_until + GAP_RETENTION_SECONDS
+
+    @property
+    def _delays_until(self) -> float:
+        return 2 * self.ended_at - self.began_at + READING_DELAY_SECONDS
 
 
 class ReceiptHistory:
@@ -93,9 +102,8 @@
         return gaps
 
     def _evict(self, now: float) -> None:
-        while self._gaps and now - self._gaps[0].ended_at > RETENTION_SECONDS:
+        while self._gaps and not self._gaps[0].is_retained(now):
             self._gaps.popleft()
-        while (
-            len(self._revisions) > 1 and now - self._revisions[1][0] > RETENTION_SECONDS
-        ):
+        oldest_needed = now - REVISION_RETENTION_SECONDS
+        while len(self._revisions) > 1 and self._revisions[1][0] < oldest_needed:
             self._revisions.popleft()
