--- a/tests/cover/test_full_disks.py
+++ b/tests/cover/test_full_disks.py
@@ -26,7 +26,7 @@
 from kingcuppulley.internal.counters import Metrics
 from tests.ensemble_cluster import EnsembleCluster, FakeDisk
 
-HOSTS = ["host-a", "host-b", "host-c"]
+HOSTS = ["10.0.0.1:7700", "10.0.0.2:7700", "10.0.0.3:7700"]
 RESULT_TIMEOUT_SECONDS = 5.0
 REAL_CALLS = {name: getattr(os, name) for name in ("open", "pwrite", "fsync", "close")}
 
@@ -219,7 +219,7 @@
 
 def new_voter() -> tuple[Voter, RecordingWriter]:
     recorder = RecordingWriter()
-    first = initial_vote("host-a", HOSTS, "disk:1", is_first_start=True)
+    first = initial_vote(HOSTS[0], HOSTS, "disk:1", is_first_start=True)
     return Voter(first, recorder, recorder), recorder
 
 
@@ -250,7 +250,7 @@
     voter.vote_written(True, 10.0)
     voter.vote_written(True, 10.1)
     assert len(recorder.replies) <= 1 + len(HOSTS)
-    assert voter.vote.accepted == Ballot(199, "host-c")
+    assert voter.vote.accepted == Ballot(199, HOSTS[2])
 
 
 def fill_journal(acceptor: Acceptor, records: range) -> None:
--- a/tests/cover/test_host_capacity.py
+++ b/tests/cover/test_host_capacity.py
@@ -8,11 +8,14 @@
 import msgspec
 import pytest
 
+from kingcuppulley.control.state import RoutingState, VoterSet, ZoneHistory
 from kingcuppulley.entry_hosts.control_follower import ControlFollower
 from kingcuppulley.entry_hosts.coordinator_table import CoordinatorTable
 from kingcuppulley.entry_hosts.seeded_messages import (
+    ControlUpdate,
     EntryHostInfo,
     HostList,
+    RelayedUpdate,
     SourcePosition,
     SubscribeToControl,
     SubscribeToRelay,
@@ -20,38 +23,62 @@
 from kingcuppulley.fabric.service_shares import SERVERS_PER_SHARE, ServiceShares
 from kingcuppulley.internal.rendezvous import rank_names
 from tests.control_traffic import ControlNetwork
-from tests.seeded_fakes import registry_of
+from tests.seeded_fakes import heartbeat, registry_of
 
 SERVICE = "order-desk"
 STRONG, WEAK = 408, 120
 SHARES = range(32)
-POSITION = ["c1", "i1", 7]
+HOST, CONTROL = "10.0.0.1:7700", "10.0.0.2:7700"
+POSITION = [CONTROL, "i1", 7]
+HEARTBEAT = heartbeat(known_return_revision=6)
+UPDATE = ControlUpdate(
+    CONTROL, "i1", 0, 7, False, [HEARTBEAT], 5, [CONTROL], 7, 0, "zone-a"
+)
+STATE = RoutingState(
+    7, VoterSet((), ()), 3, b"document", ("zone-a",), (), (ZoneHistory("zone-a", 7),)
+)
+
+
+def as_list(message: Any) -> list[Any]:
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(message))
 
 
 @pytest.mark.parametrize(
-    ("current", "earlier"),
+    ("current", "earlier", "new_fields"),
     [
-        (EntryHostInfo("a1", "z", True, 163), ["a1", "z", True]),
+        (EntryHostInfo(HOST, "z", True, 163), [HOST, "z", True], 1),
         (
-            SubscribeToControl("a1", "z", True, False, "i1", 7, 163),
-            ["fc", "a1", "z", True, False, "i1", 7],
+            SubscribeToControl(HOST, "z", True, False, "i1", 7, 163),
+            ["fc", HOST, "z", True, False, "i1", 7],
+            1,
         ),
         (
-            SubscribeToRelay("a1", "z", True, False, [SourcePosition(*POSITION)], 163),
-            ["fy", "a1", "z", True, False, [POSITION]],
+            SubscribeToRelay(
+                HOST, "z", True, False, [SourcePosition(*POSITION)], 163, 5
+            ),
+            ["fy", HOST, "z", True, False, [POSITION]],
+            2,
         ),
+        (RelayedUpdate([UPDATE], [3], 5), ["cr", [as_list(UPDATE)], [3]], 1),
+        (HEARTBEAT, as_list(HEARTBEAT)[:-1], 1),
+        (STATE, as_list(STATE)[:-1], 1),
     ],
+    ids=lambda value: type(value).__name__,
 )
-def test_messages_are_exchanged_with_earlier_builds(current: Any, earlier: list[Any]):
-    """A mixed deployment must not lose subscriptions or lists of hosts."""
+def test_messages_are_exchanged_with_earlier_builds(
+    current: Any, earlier: list[Any], new_fields: int
+):
+    """A mixed deployment must not lose subscriptions, updates or lists of hosts."""
     encode, decode = msgspec.msgpack.encode, msgspec.msgpack.decode
     tag = current.__struct_config__.tag
-    fields = [(each.name, each.type) for each in msgspec.structs.fields(current)[:-1]]
+    all_fields = msgspec.structs.fields(current)
+    fields = [(each.name, each.type) for each in all_fields[:-new_fields]]
     EarlierType = msgspec.defstruct("EarlierType", fields, array_like=True, tag=tag)
     earlier_message = decode(encode(current), type=EarlierType)
     assert encode(earlier_message) == encode(earlier)
     received = decode(encode(earlier_message), type=type(current))
-    assert received == msgspec.structs.replace(current, capacity=0)
+    defaults = {each.name: each.default for each in all_fields[-new_fields:]}
+    assert received == msgspec.structs.replace(current, **defaults)
 
 
 def table_of(capacities: dict[str, int]) -> CoordinatorTable:
