Test when a call begins, and an order behind stalled disks

Cause: both are paths of the fault of old orders that no test named: the first call of a connection counts from its opening, a later one from when it was read; voters store an order after its caller has gone on.

--- a/tests/cover/test_asyncio_http.py
+++ b/tests/cover/test_asyncio_http.py
@@ -142,3 +142,31 @@
 
     assert asyncio.run(asyncio.wait_for(run(), TIMEOUT_SECONDS)) == b""
     assert len(reported) == 1
+
+
+def test_a_caller_waits_from_the_opening_of_its_connection():
+    # Guards against taking a call for new whose bytes the network held up; later calls
+    # of a connection begin when they are read, however long it was idle.
+    times = iter(range(1, 100))
+    began: list[float] = []
+
+    def record(request: HttpRequest) -> None:
+        began.append(request.began_at)
+        echo_method_and_path(request)
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        server = await listen_requests(
+            loop, "127.0.0.1", 0, record, lambda: float(next(times))
+        )
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for path in (b"first", b"second", b"third"):
+            writer.write(GET % path)
+            await reader.readuntil(b"GET /" + path)
+        writer.close()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(run(), TIMEOUT_SECONDS))
+    # The clock is read when the connection opens, and for each later request.
+    assert began == [1.0, 2.0, 3.0]
--- a/tests/cover/test_ensemble.py
+++ b/tests/cover/test_ensemble.py
@@ -221,3 +221,22 @@
         operation = cluster.run_until_done(cluster.put(HOSTS[version % 3], version))
         outcomes.append(operation.state is not None)
     assert sum(outcomes) >= 18
+
+
+def test_an_order_that_expired_behind_stalled_disks_does_not_undo_a_later_one():
+    # Guards against an order that voters store after its caller has gone on.
+    cluster = start_cluster()
+    assert cluster.run_until_done(cluster.set_zone("host-a", "zone-a", True)).state
+    for host in ("host-b", "host-c"):
+        cluster.disks[host].is_stalled = True
+    stalled = cluster.set_zone("host-a", "zone-a", False)
+    cluster.run(1.0)
+    assert stalled.is_done
+    assert stalled.state is None
+    for host in ("host-b", "host-c"):
+        cluster.disks[host].is_stalled = False
+    later = cluster.run_until_done(cluster.set_zone("host-b", "zone-a", True))
+    assert later.state is not None
+    cluster.run(2.0)
+    newest = cluster.chosen[max(cluster.chosen)]
+    assert newest.zones_out == ()
