Hold a request that may be old until its caller would have disconnected

Cause: an order that might be old was refused if its zone had been ordered since. That is safe, but a caller that still waits must not be refused for it.

Change: a request whose caller's second may be over is held for 0.3 s and proposed only if the caller is still there; others are proposed at once, until the end of the caller's second. The proposer asks in each round whether the caller is there. `leave` takes the same path. The revision of a zone's last order leaves the routing state; that of its last return stays. An entry host counts a pause from 1 s on, so that stalls of a slow host do not hold flows back.

--- a/src/kingcuppulley/backend_servers/change_log.py
+++ b/src/kingcuppulley/backend_servers/change_log.py
@@ -17,14 +17,10 @@
 
 
 class ServerEntry:
-    """Hold the last heartbeat of one backend server and the server's current state.
-
-    `incarnation_since` is when the first heartbeat of the server's incarnation arrived.
-    """
+    """Hold the last heartbeat of one backend server and the server's current state."""
 
     __slots__ = (
         "heartbeat",
-        "incarnation_since",
         "state",
         "last_received_at",
         "cold_deadline",
@@ -33,17 +29,11 @@
 
     def __init__(self, heartbeat: Heartbeat, now: float, change_number: int) -> None:
         self.heartbeat = heartbeat
-        self.incarnation_since = now
         self.state = heartbeat.state
         self.last_received_at = now
         self.cold_deadline = now + heartbeat.cold_remaining_seconds
         self.change_number = change_number
 
-    def continue_incarnation(self, previous: ServerEntry) -> None:
-        """Keep since when the incarnation is known if an earlier entry is of it."""
-        if previous.heartbeat.incarnation == self.heartbeat.incarnation:
-            self.incarnation_since = previous.incarnation_since
-
     def current_heartbeat(self, now: float) -> Heartbeat:
         """Return the server's last heartbeat with its present state and cold time."""
         return msgspec.structs.replace(
@@ -102,10 +92,8 @@
 
     def record_unchanged(self, heartbeat: Heartbeat, now: float) -> None:
         """Replace the heartbeat of a known server without a change."""
-        previous = self._entries[heartbeat.name]
-        entry = ServerEntry(heartbeat, now, previous.change_number)
-        entry.continue_incarnation(previous)
-        self._entries[heartbeat.name] = entry
+        change_number = self._entries[heartbeat.name].change_number
+        self._entries[heartbeat.name] = ServerEntry(heartbeat, now, change_number)
 
     def record_change(self, heartbeat: Heartbeat, now: float) -> None:
         """Add a server, or replace its heartbeat, as the next change."""
@@ -160,7 +148,5 @@
 
     def _append(self, entry: ServerEntry) -> None:
         # `changes_since` relies on the order.
-        previous = self._entries.pop(entry.heartbeat.name, None)
-        if previous is not None:
-            entry.continue_incarnation(previous)
+        self._entries.pop(entry.heartbeat.name, None)
         self._entries[entry.heartbeat.name] = entry
--- a/src/kingcuppulley/backend_servers/heartbeat_table.py
+++ b/src/kingcuppulley/backend_servers/heartbeat_table.py
@@ -70,9 +70,6 @@
                 cold_remaining_seconds=0.0,
             )
             self._log.record_change(restored, now)
-            entry = self._log.get(heartbeat.name)
-            if entry is not None:
-                entry.incarnation_since = float("-inf")
 
     def known_servers(self) -> list[Heartbeat]:
         """Return the last heartbeats of the servers that may have open flows."""
@@ -82,20 +79,6 @@
             if entry.state in (ServingState.READY, ServingState.DRAINING)
         ]
 
-    def may_deregister(self, name: str, sent_after: float) -> bool:
-        """Return whether a leave concerns the known incarnation of a server.
-
-        A leave names no incarnation.  One that may have been sent before the first
-        heartbeat of this one can be that of the incarnation before.  It still concerns
-        a server that has reported that it leaves.
-        """
-        entry = self._log.get(name)
-        return (
-            entry is None
-            or entry.state is not ServingState.READY
-            or entry.incarnation_since < sent_after
-        )
-
     def deregister(self, name: str, now: float) -> bool:
         """Mark a backend server as gone and return whether that is a change."""
         entry = self._log.get(name)
--- a/src/kingcuppulley/control/ensemble_host.py
+++ b/src/kingcuppulley/control/ensemble_host.py
@@ -17,9 +17,9 @@
     ReadState,
 )
 from kingcuppulley.control.proposer import (
+    CallerCheck,
     Proposer,
     StateCallback,
-    StateCondition,
 )
 from kingcuppulley.control.registers import ZERO_BALLOT
 from kingcuppulley.control.state import (
@@ -180,10 +180,10 @@
         change: StateChange,
         on_result: StateCallback,
         deadline: float,
-        may_apply: StateCondition = lambda _: True,
+        is_awaited: CallerCheck = lambda: True,
     ) -> None:
         """Propose a change; see `Proposer.submit`."""
-        self._proposer.submit(change, on_result, deadline, may_apply)
+        self._proposer.submit(change, on_result, deadline, is_awaited)
         self._proposer.tick(self._now)
 
     def read(self, on_result: StateCallback, deadline: float) -> None:
--- a/src/kingcuppulley/control/proposer.py
+++ b/src/kingcuppulley/control/proposer.py
@@ -32,8 +32,8 @@
 MAXIMUM_BACKOFF_SECONDS = 0.03
 
 StateCallback = Callable[[RoutingState | None], None]
-# Returns whether a change may still be applied to a state.
-StateCondition = Callable[[RoutingState], bool]
+# Returns whether the caller of a change still waits for the result.
+CallerCheck = Callable[[], bool]
 
 
 class RequestSender(Protocol):
@@ -46,23 +46,23 @@
 class PendingOperation:
     """Hold one change or read, its deadline and the callback for its result.
 
-    `change` is None for a read.  A change is proposed only if `may_apply` returns True
-    for the state that it would change.
+    `change` is None for a read.  A change is proposed only while `is_awaited` returns
+    True.
     """
 
-    __slots__ = ("change", "on_result", "deadline", "may_apply")
+    __slots__ = ("change", "on_result", "deadline", "is_awaited")
 
     def __init__(
         self,
         change: StateChange | None,
         on_result: StateCallback,
         deadline: float,
-        may_apply: StateCondition = lambda _: True,
+        is_awaited: CallerCheck = lambda: True,
     ) -> None:
         self.change = change
         self.on_result = on_result
         self.deadline = deadline
-        self.may_apply = may_apply
+        self.is_awaited = is_awaited
 
 
 class _Round:
@@ -174,15 +174,15 @@
         change: StateChange,
         on_result: StateCallback,
         deadline: float,
-        may_apply: StateCondition = lambda _: True,
+        is_awaited: CallerCheck = lambda: True,
     ) -> None:
         """Propose a change until a quorum accepts it or the deadline passes.
 
-        `may_apply` is asked in each round, before the change is proposed.  `on_result`
-        receives the chosen state, or None if `may_apply` returned False, or after the
+        `is_awaited` is asked in each round, before the change is proposed.  `on_result`
+        receives the chosen state, or None if `is_awaited` returned False, or after the
         deadline.
         """
-        operation = PendingOperation(change, on_result, deadline, may_apply)
+        operation = PendingOperation(change, on_result, deadline, is_awaited)
         self._pending_changes.append(operation)
 
     def read(self, on_result: StateCallback, deadline: float) -> None:
@@ -309,7 +309,7 @@
             # A process that was paused reads promises before its next tick.
             self._expire_operations(now)
             operations, self._pending_changes = self._pending_changes, []
-            current_round.operations = _drop_outdated(operations, newest)
+            current_round.operations = _drop_abandoned(operations)
             changes = [
                 operation.change
                 for operation in current_round.operations
@@ -422,13 +422,11 @@
     return state
 
 
-def _drop_outdated(
-    operations: list[PendingOperation], state: RoutingState
-) -> list[PendingOperation]:
-    """Return the operations that may change a state; report None to the others."""
+def _drop_abandoned(operations: list[PendingOperation]) -> list[PendingOperation]:
+    """Return the operations whose callers wait; report None to the others."""
     remaining = []
     for operation in operations:
-        if operation.may_apply(state):
+        if operation.is_awaited():
             remaining.append(operation)
         else:
             operation.on_result(None)
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -11,6 +11,7 @@
 
 from kingcuppulley.backend_servers.heartbeat_table import HeartbeatTable
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
+from kingcuppulley.control.awaited_requests import AwaitedRequests, Caller
 from kingcuppulley.control.ensemble_host import EnsembleHost
 from kingcuppulley.control.ensemble_messages import (
     EnsembleHostMessage,
@@ -33,11 +34,6 @@
 )
 from kingcuppulley.control.update_source import UpdateSource
 from kingcuppulley.control.voter import VoteWriter
-from kingcuppulley.control.zone_order import (
-    OPERATION_TIMEOUT_SECONDS,
-    Caller,
-    ZoneOrder,
-)
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlUpdate,
     EntryHostInfo,
@@ -55,6 +51,7 @@
     find_earlier_services,
 )
 
+OPERATION_TIMEOUT_SECONDS = 0.9
 # Time without a subscribe message after which an entry host no longer counts as ready.
 SUBSCRIPTION_TIMEOUT_SECONDS = 1.5
 # Time without a subscribe message after which an entry host gets no more updates.
@@ -116,6 +113,7 @@
         self._last_heartbeat_at = 0.0
         self._state_chosen_at = 0.0
         self._receipts = ReceiptHistory(vote.state.revision, clock())
+        self._awaited_requests = AwaitedRequests(self._receipts)
         self._heartbeat_table = HeartbeatTable(heartbeat_seconds)
         self._own_source = UpdateSource(
             address, instance, self._heartbeat_table.log, clock()
@@ -170,22 +168,32 @@
             )
 
         compressed = zlib.compress(document, COMPRESSION_LEVEL)
-        self._propose_change(
+        self._ensemble.change(
             put_configuration(version, compressed, find_earlier),
-            on_result,
-            "configuration",
-            version,
+            self._record_order("configuration", version, on_result),
+            self._clock() + OPERATION_TIMEOUT_SECONDS,
         )
 
     def set_zone(
         self, zone: str, in_service: bool, on_result: StateCallback, caller: Caller
     ) -> None:
-        """Take a zone out of service, or put it back into service."""
+        """Take a zone out of service, or put it back into service.
+
+        Orders for zones have no version, so one whose caller has gone is not applied.
+        """
         change_kind = "zone back" if in_service else "zone out"
-        order = ZoneOrder(zone, in_service, caller, self._receipts, self._clock)
-        self._propose_change(
-            set_zone(zone, in_service), on_result, change_kind, zone, order
-        )
+        change = set_zone(zone, in_service)
+
+        def propose(deadline: float | None) -> None:
+            record_result = self._record_order(change_kind, zone, on_result, caller)
+            if deadline is None:
+                record_result(None)
+            else:
+                self._ensemble.change(
+                    change, record_result, deadline, lambda: not caller.is_disconnected
+                )
+
+        self._awaited_requests.submit(caller, propose, self._clock())
 
     def read(self, on_result: StateCallback) -> None:
         """Read the state that a quorum confirms.
@@ -282,21 +290,25 @@
         """Return the servers from `servers_to_store` again, as their write failed."""
         self._stored_servers = frozenset()
 
-    def deregister(self, name: str, caller: Caller) -> bool:
+    def deregister(
+        self, name: str, on_done: Callable[[], None], caller: Caller
+    ) -> None:
         """Mark a backend server that leaves as gone, and notify subscribed hosts.
 
-        Return False without an effect if the request may be from before its present
-        incarnation.
+        A leave names no start of its server, so one whose caller has gone is dropped:
+        the server may have started again.  Otherwise `on_done` is called.
         """
-        sent_after = self._receipts.earliest_sending(caller.began_at, self._clock())
-        if not self._heartbeat_table.may_deregister(name, sent_after):
-            self._metrics.count("leaves_outdated")
-            self._log.event("backend server leave outdated", server=name)
-            return False
-        if self._heartbeat_table.deregister(name, self._clock()):
-            self._log.event("backend server left", server=name)
-            self._notify(self._address, is_urgent=True)
-        return True
+
+        def mark(deadline: float | None) -> None:
+            if deadline is None:
+                self._metrics.count("leaves_abandoned")
+                return
+            if self._heartbeat_table.deregister(name, self._clock()):
+                self._log.event("backend server left", server=name)
+                self._notify(self._address, is_urgent=True)
+            on_done()
+
+        self._awaited_requests.submit(caller, mark, self._clock())
 
     def receive(self, address: str, message: object) -> None:
         """Process a message from another process."""
@@ -341,6 +353,7 @@
     def tick(self, now: float) -> None:
         """Process every deadline that has passed."""
         self._receipts.record_tick(self._ensemble.quorum_contact_at(now), now)
+        self._awaited_requests.tick(now)
         self._ensemble.tick(now)
         self._relayed.tick(self._ensemble.live_hosts(now), now)
         self._updates.tick(self._relayed.sources, now)
@@ -354,23 +367,24 @@
             self._notify(self._address, is_urgent=True)
         self._remove_expired_hosts(now)
 
-    def _propose_change(
+    def _record_order(
         self,
-        change: Callable[[RoutingState], RoutingState],
-        on_result: StateCallback,
         change_kind: str,
         subject: object,
-        zone_order: ZoneOrder | None = None,
-    ) -> None:
+        on_result: StateCallback,
+        caller: Caller | None = None,
+    ) -> StateCallback:
+        """Return a callback that logs the outcome of an order and passes it on."""
         requested_at = self._clock()
 
         def record_result(state: RoutingState | None) -> None:
             seconds = self._clock() - requested_at
-            reason = zone_order.outdated_reason if zone_order is not None else ""
             if state is not None:
                 outcome = "accepted"
+            elif caller is not None and caller.is_disconnected:
+                outcome = "caller disconnected"
             else:
-                outcome = "outdated" if reason else "no quorum in time"
+                outcome = "no quorum in time"
             self._metrics.count(f"orders_{outcome.replace(' ', '_')}")
             self._metrics.observe_seconds("order", seconds)
             self._log.event(
@@ -378,18 +392,12 @@
                 order=change_kind,
                 subject=subject,
                 outcome=outcome,
-                reason=reason,
                 revision=state.revision if state is not None else None,
                 seconds=round(seconds, 4),
             )
             on_result(state)
 
-        self._ensemble.change(
-            change,
-            record_result,
-            requested_at + OPERATION_TIMEOUT_SECONDS,
-            zone_order.may_apply if zone_order is not None else _always_applies,
-        )
+        return record_result
 
     def _known_return_revision(self, zone: str, caller: Caller) -> int:
         """Return the last return of a zone that a heartbeat is certainly sent after."""
@@ -493,10 +501,6 @@
         )
 
 
-def _always_applies(_: RoutingState) -> bool:
-    return True
-
-
 def _identities(servers: list[Heartbeat]) -> ServerIdentities:
     """Return what a stored list of servers has to keep of them."""
     return frozenset(
--- a/src/kingcuppulley/control/state.py
+++ b/src/kingcuppulley/control/state.py
@@ -63,16 +63,11 @@
     services: tuple[Name, ...]
 
 
-class ZoneHistory(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the revision of the last order for a zone, and that of its last return.
-
-    An order that repeats the one before counts as an order, too.  `return_revision` is
-    that of the last order that put the zone back into service, and 0 if there was none.
-    """
+class ZoneReturn(msgspec.Struct, frozen=True, array_like=True):
+    """Name the revision at which a zone last came back into service."""
 
     zone: Name
-    order_revision: Count
-    return_revision: Count = 0
+    revision: Count
 
 
 class RoutingState(msgspec.Struct, frozen=True, array_like=True):
@@ -81,8 +76,8 @@
     `revision` grows by one with each change.  `configuration` is the operator's
     document, compressed with zlib.  `zones_out` are the zones out of service.
     `earlier_services` has an entry for each route that earlier configurations sent to
-    other services.  `zone_histories` has an entry for each zone that any order named;
-    states of earlier builds have none.
+    other services.  `zone_returns` has an entry for each zone that ever came back into
+    service; states of earlier builds have none.
     """
 
     revision: Count = 0
@@ -91,7 +86,7 @@
     configuration: bytes = b""
     zones_out: tuple[Name, ...] = ()
     earlier_services: tuple[EarlierServices, ...] = ()
-    zone_histories: tuple[ZoneHistory, ...] = ()
+    zone_returns: tuple[ZoneReturn, ...] = ()
 
     @property
     def document(self) -> bytes | None:
@@ -118,21 +113,12 @@
             )
         return document
 
-    def zone_order_revision(self, zone: str) -> int:
-        """Return the revision of the last order for a zone, or 0 if there was none."""
-        history = self._zone_history(zone)
-        return history.order_revision if history is not None else 0
-
     def zone_return_revision(self, zone: str) -> int:
         """Return the revision at which a zone last returned, or 0 if it never did."""
-        history = self._zone_history(zone)
-        return history.return_revision if history is not None else 0
-
-    def _zone_history(self, zone: str) -> ZoneHistory | None:
-        for history in self.zone_histories:
-            if history.zone == zone:
-                return history
-        return None
+        for zone_return in self.zone_returns:
+            if zone_return.zone == zone:
+                return zone_return.revision
+        return 0
 
 
 class ChosenVoters(msgspec.Struct, frozen=True, array_like=True):
@@ -186,21 +172,19 @@
     """Return the change that takes a zone out of service, or puts it back."""
 
     def change(state: RoutingState) -> RoutingState:
-        # That of the state which this change is part of.
-        revision = state.revision + 1
-        return_revision = state.zone_return_revision(zone)
         zones = set(state.zones_out)
-        if not in_service:
-            zones.add(zone)
-        elif zone in zones:
+        returns = state.zone_returns
+        if in_service and zone in zones:
+            others = [entry for entry in returns if entry.zone != zone]
+            # The revision of the state that this change is part of.
+            zone_return = ZoneReturn(zone, state.revision + 1)
+            returns = tuple(sorted((*others, zone_return), key=_zone_of))
+        if in_service:
             zones.discard(zone)
-            return_revision = revision
-        others = [entry for entry in state.zone_histories if entry.zone != zone]
-        history = ZoneHistory(zone, revision, return_revision)
+        else:
+            zones.add(zone)
         return msgspec.structs.replace(
-            state,
-            zones_out=tuple(sorted(zones)),
-            zone_histories=tuple(sorted((*others, history), key=_zone_of)),
+            state, zones_out=tuple(sorted(zones)), zone_returns=returns
         )
 
     return change
@@ -242,8 +226,8 @@
     )
 
 
-def _zone_of(history: ZoneHistory) -> str:
-    return history.zone
+def _zone_of(zone_return: ZoneReturn) -> str:
+    return zone_return.zone
 
 
 def _is_majority(members: tuple[Member, ...], disk_ids: Container[str]) -> bool:
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -472,9 +472,9 @@
             self._registry.record_zone_return(
                 zone, state.zone_return_revision(zone) or state.revision, now
             )
-        for history in state.zone_histories:
+        for zone_return in state.zone_returns:
             self._registry.record_zone_return(
-                history.zone, history.return_revision, now
+                zone_return.zone, zone_return.revision, now
             )
         self._zones_out = zones_out
         self._update_placement_zones(now)
--- a/src/kingcuppulley/entry_hosts/state_confirmation.py
+++ b/src/kingcuppulley/entry_hosts/state_confirmation.py
@@ -4,8 +4,9 @@
 
 from random import Random
 
-# A zone can be taken out and back during a pause of this length.
-PAUSE_SECONDS = 0.5
+# Shorter than any time for which an operator takes a zone out, and longer than the
+# stalls of a host that is only slow.
+PAUSE_SECONDS = 1.0
 # A host that gets no answer is cut off, and continues with the state that it has.
 CONFIRMATION_TIMEOUT_SECONDS = 0.5
 _MAXIMUM_NUMBER = (1 << 32) - 1
--- a/src/kingcuppulley/platform/calls.py
+++ b/src/kingcuppulley/platform/calls.py
@@ -96,15 +96,9 @@
     def _handle_target_request(self, request: HttpRequest, subpath: str) -> None:
         name, _, action = subpath.partition("/")
         if action == "leave":
-            if self._host.deregister(name, request):
-                answer_json(request, 200, _Acknowledgement())
-            else:
-                answer_fault(
-                    request,
-                    503,
-                    "the server has started again since this may have been sent",
-                    _RETRY_REMEDY,
-                )
+            self._host.deregister(
+                name, lambda: answer_json(request, 200, _Acknowledgement()), request
+            )
             return
         if action != "heartbeat":
             answer_fault(request, 404, "unknown action", "use heartbeat or leave")
@@ -153,8 +147,8 @@
             answer_fault(
                 request,
                 503,
-                "no majority of control hosts answered in time, or a later change may "
-                "exist; it is unknown whether the change is accepted",
+                "no majority of control hosts answered in time; it is unknown whether "
+                "the change is accepted",
                 _RETRY_REMEDY,
             )
         else:
--- a/tests/pausable_network.py
+++ b/tests/pausable_network.py
@@ -59,6 +59,12 @@
             name, f"/kingcuppulley/targets/{server}/leave", began_at=began_at
         )
 
+    def disconnect_later(self, request: FakeRequest) -> None:
+        """Let a host learn of the end of a connection some time after its request."""
+        self.run(0.2)
+        request.is_disconnected = True
+        self.run(2.0)
+
     def is_out(self, name: str) -> bool:
         state = self.controls[name].ensemble.current
         assert state is not None
