Count no upload for ever whose caller has left

Cause: open uploads without packets are removed only when a large packet is recorded or a flow is accepted. Once those whose callers left fill the link, every flow is refused, and nothing removes them any more.

--- a/src/kingcuppulley/fabric/link_admission.py
+++ b/src/kingcuppulley/fabric/link_admission.py
@@ -68,6 +68,9 @@
         """Return whether to accept a new flow, and record it if its route is bulk."""
         if not self._is_bulk(route_key):
             return True
+        # While every flow is refused, nothing else removes the requests that ended
+        # without notice, and they would count for ever.
+        self._expire(now)
         if not self.has_room(route_key, objective_seconds, queued_bytes, now):
             return False
         self._add(flow, route_key, now)
