Put configurations that fit no message into the soak, and test the upgrade of old votes

The soak's callers changed only a configuration of two routes, so no fault met a content that is fetched. One version in four now names 3,000 routes more. New tests: votes of an earlier build with states that are too large, two large configurations that race, contents that nothing names.

--- a/tests/cover/test_large_configurations.py
+++ b/tests/cover/test_large_configurations.py
@@ -9,9 +9,10 @@
 import os
 from random import Random
 
+import msgspec
 import pytest
 
-from kingcuppulley.control.content_store import ContentStore
+from kingcuppulley.control.content_store import UNUSED_RETENTION_SECONDS, ContentStore
 from kingcuppulley.control.content_transfer import (
     CHUNK_BYTES,
     ContentChunk,
@@ -30,6 +31,7 @@
 from kingcuppulley.control.vote_store import FileVoteStore
 from kingcuppulley.errors import StorageError
 from tests.control_traffic import ControlNetwork
+from tests.ensemble_cluster import EnsembleCluster
 from tests.seeded_fakes import WaitingCaller
 
 LINK_BYTES_PER_SECOND = 250_000
@@ -278,3 +280,60 @@
     restored = FileVoteStore(tmp_path, contents).read()
     assert restored.state.content_reference == reference_to(encode_content(large))
     assert contents.content(restored.state) == large
+
+
+def test_control_hosts_with_votes_of_an_earlier_build_agree_again_after_the_upgrade():
+    # Guards against the state that earlier builds ended in: each voter accepted a state
+    # that it could not report, under a ballot of its own.
+    hosts = ["host-a", "host-b", "host-c"]
+    cluster = EnsembleCluster(hosts, hosts, 3)
+    assert cluster.run_until_done(cluster.put("host-a", 1)).state is not None
+    cluster.run(1.0)
+    for number, host in enumerate(hosts, start=2):
+        cluster.crash(host)
+        stored = cluster.disks[host].vote
+        ballot = Ballot(100 + number, host)
+        state = msgspec.structs.replace(
+            stored.state.with_content(RoutingContent(b"%d" % number * 70_000)),
+            revision=stored.state.revision + 1,
+            configuration_version=number,
+        )
+        cluster.disks[host].vote = msgspec.structs.replace(
+            stored, promised=ballot, accepted=ballot, state=state
+        )
+    for host in hosts:
+        cluster.start(host)
+    cluster.run(3.0)
+    chosen = cluster.run_until_done(cluster.read("host-b")).state
+    assert chosen.configuration_version in (1, 2, 3, 4)
+    assert cluster.run_until_done(cluster.put("host-c", 9)).state is not None
+    for host in hosts:
+        state = cluster.run_until_done(cluster.read(host)).state
+        assert cluster.document(host, state) == b"document"
+
+
+def test_two_large_configurations_that_race_leave_one_whole_one_in_force():
+    hosts = ["host-a", "host-b", "host-c"]
+    cluster = EnsembleCluster(hosts, hosts, 3)
+    cluster.run(0.5)
+    documents = {2: b"two" * 40_000, 3: b"three" * 40_000}
+    first = cluster.put("host-a", 2, documents[2])
+    second = cluster.put("host-b", 3, documents[3])
+    assert cluster.run_until_done(second).state is not None
+    assert cluster.run_until_done(first).state is not None
+    cluster.run(1.0)
+    for host in hosts:
+        state = cluster.run_until_done(cluster.read(host)).state
+        assert state.configuration_version == 3
+        assert cluster.document(host, state) == documents[3]
+
+
+def test_contents_that_no_state_names_are_dropped_after_a_while():
+    contents = ContentStore()
+    used, unused = contents.add(b"used"), contents.add(b"unused")
+    contents.evict([used], 100.0)
+    contents.evict([used], 100.0 + UNUSED_RETENTION_SECONDS)
+    assert contents.encoded(unused) == b"unused"
+    contents.evict([used], 100.1 + UNUSED_RETENTION_SECONDS)
+    assert contents.encoded(unused) is None
+    assert contents.encoded(used) == b"used"
--- a/tests/ensemble_cluster.py
+++ b/tests/ensemble_cluster.py
@@ -6,6 +6,8 @@
 from itertools import count
 from random import Random
 
+import msgspec
+
 from kingcuppulley.control.content_store import ContentStore
 from kingcuppulley.control.ensemble_host import EnsembleHost, initial_vote
 from kingcuppulley.control.ensemble_messages import EnsembleHostMessage
@@ -59,6 +61,9 @@
         self.contents = ContentStore()
         if self.content is not None:
             self.contents.add(self.content)
+        if self.vote is not None:
+            state = self.contents.detach_large(self.vote.state)
+            self.vote = msgspec.structs.replace(self.vote, state=state)
         return self.contents
 
 
@@ -117,6 +122,7 @@
             disk.vote = initial_vote(
                 host, self.seeds, f"disk:{instance}", is_first_start
             )
+        contents = disk.load_contents()
         self.running[host] = EnsembleHost(
             host,
             f"zone-{host[-1]}",
@@ -128,7 +134,7 @@
             self.desired_voters,
             Random(self.random.random()),
             self.now,
-            disk.load_contents(),
+            contents,
         )
 
     def crash(self, host: str) -> None:
--- a/tests/soak/simulated_environment.py
+++ b/tests/soak/simulated_environment.py
@@ -35,6 +35,9 @@
 CALLER_ADDRESS = f"127.33.{RUN_OCTET}.1"
 SERVICES = {"desk": ("198.18.0.1", 443), "store": ("198.18.0.2", 443)}
 CALL_TIMEOUT_SECONDS = 1.5
+# One version in so many names routes beyond what one message can carry.
+LARGE_CONFIGURATION_INTERVAL = 4
+LARGE_CONFIGURATION_ROUTES = 3_000
 
 
 class Flow:
@@ -285,6 +288,8 @@
             }
             for name, (host, port) in SERVICES.items()
         ]
+        if self.submitted_version % LARGE_CONFIGURATION_INTERVAL == 0:
+            routes += self._make_unused_routes()
         services = [{"name": name, "warmup_s": 0.5} for name in SERVICES]
         return {
             "version": self.submitted_version,
@@ -292,6 +297,19 @@
             "services": services,
         }
 
+    def _make_unused_routes(self) -> list[dict[str, object]]:
+        """Return so many routes that no message can carry the configuration."""
+        return [
+            {
+                "name": f"{self.random.getrandbits(64):016x}",
+                "host": f"198.18.{1 + number // 200}.{1 + number % 200}",
+                "path_prefix": "/443/",
+                "timeout_ms": 1000,
+                "service": next(iter(SERVICES)),
+            }
+            for number in range(LARGE_CONFIGURATION_ROUTES)
+        ]
+
     async def _put_configurations(self) -> None:
         while True:
             self.submitted_version += self.random.randint(1, 3)
