--- a/src/kingcuppulley/control/configuration_publisher.py
+++ b/src/kingcuppulley/control/configuration_publisher.py
@@ -64,7 +64,15 @@
     again.
     """
 
-    __slots__ = ("_ensemble", "_decode", "_read_document", "_publications", "_decoded")
+    __slots__ = (
+        "_ensemble",
+        "_contents",
+        "_now",
+        "_decode",
+        "_read_document",
+        "_publications",
+        "_decoded",
+    )
 
     def __init__(
         self,
@@ -73,6 +81,8 @@
         read_document: Callable[[RoutingState], bytes | None],
     ) -> None:
         self._ensemble = ensemble
+        self._contents = ensemble.content_exchange
+        self._now = 0.0
         self._decode = decode
         self._read_document = read_document
         self._publications: list[_Publication] = []
@@ -95,11 +105,13 @@
 
     def tick(self, now: float) -> None:
         """Continue what waited for a content, and end what is late."""
+        self._now = now
         for publication in list(self._publications):
             if not publication.is_waiting:
                 self._advance(publication, now)
 
     def _advance(self, publication: _Publication, now: float) -> None:
+        self._now = now
         if now >= publication.deadline:
             self._end(publication, None)
             return
@@ -120,7 +132,7 @@
                 self._propose(publication)
 
         publication.is_waiting = True
-        self._ensemble.spread(reference, handle_offer_result, publication.deadline)
+        self._contents.spread(reference, handle_offer_result, publication.deadline, now)
 
     def _propose(self, publication: _Publication) -> None:
         version = publication.configuration.version
@@ -146,9 +158,9 @@
         self, publication: _Publication, state: RoutingState
     ) -> RoutingState | None:
         """Return a state with the new content, or None until the old one is held."""
-        contents = self._ensemble.contents
+        contents = self._contents.contents
         if not contents.holds(state):
-            self._ensemble.fetch_content(state)
+            self._contents.fetch(state, "", self._now)
             return None
         configuration = publication.configuration
         earlier_services: tuple[EarlierServices, ...] = ()
--- a/src/kingcuppulley/control/content_transfer.py
+++ b/src/kingcuppulley/control/content_transfer.py
@@ -173,6 +173,11 @@
         self._send = send
         self._fetches: dict[ContentReference, _Fetch] = {}
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether any content is being fetched."""
+        return bool(self._fetches)
+
     def request(self, reference: ContentReference, source: str, now: float) -> None:
         """Start to fetch a content from a host, or continue a fetch."""
         fetch = self._fetches.get(reference)
--- a/src/kingcuppulley/control/ensemble_host.py
+++ b/src/kingcuppulley/control/ensemble_host.py
@@ -2,21 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from random import Random
 from typing import Protocol
 
-import msgspec
-
-from kingcuppulley.control.content_spreader import ContentSpreader
+from kingcuppulley.control.content_exchange import ContentExchange
 from kingcuppulley.control.content_store import ContentStore
 from kingcuppulley.control.content_transfer import (
     ContentChunk,
-    ContentFetcher,
     ContentHeld,
     FetchContent,
     OfferContent,
-    chunk_of,
 )
 from kingcuppulley.control.ensemble_messages import (
     AcceptState,
@@ -37,7 +32,6 @@
     StateCallback,
 )
 from kingcuppulley.control.registers import ZERO_BALLOT
-from kingcuppulley.control.routing_content import ContentReference
 from kingcuppulley.control.state import (
     ChosenVoters,
     Member,
@@ -137,13 +131,9 @@
         self._transport = transport
         self._seeds = seeds
         self._desired_voters = desired_voters
-        self._contents = contents if contents is not None else ContentStore()
-        self._fetcher = ContentFetcher(transport.send)
-        self._spreader = ContentSpreader(self)
-        # Requests to accept a state whose content is being fetched, by proposer.
-        self._waiting_accepts: dict[str, AcceptState] = {}
-        # The hosts that offered a content that is being fetched.
-        self._content_offers: set[tuple[str, ContentReference]] = set()
+        self._content_exchange = ContentExchange(
+            host, self, contents if contents is not None else ContentStore()
+        )
         self._voter = Voter(vote, writer, self)
         self._proposer = Proposer(
             instance, vote.chosen, self, self._handle_chosen_state, generator
@@ -161,9 +151,14 @@
         return self._voter
 
     @property
-    def contents(self) -> ContentStore:
-        """Return the contents that this host holds."""
-        return self._contents
+    def content_exchange(self) -> ContentExchange:
+        """Return what fetches, holds and sends the contents that states name."""
+        return self._content_exchange
+
+    @property
+    def disk_id(self) -> str:
+        """Return the identifier of this host's disk."""
+        return self._voter.vote.disk_id
 
     @property
     def voters(self) -> VoterSet:
@@ -232,32 +227,13 @@
         self._proposer.read(on_result, deadline)
         self._proposer.tick(self._now)
 
-    def spread(
-        self,
-        reference: ContentReference,
-        on_result: Callable[[bool], None],
-        deadline: float,
-    ) -> None:
-        """Let a quorum of voters fetch a content; see `ContentSpreader.spread`."""
-        self._spreader.spread(reference, on_result, deadline, self._now)
+    def send(self, host: str, message: EnsembleHostMessage) -> None:
+        """Send a message to another host."""
+        self._transport.send(host, message)
 
-    def fetch_content(self, state: RoutingState, source: str = "") -> None:
-        """Fetch the content of a state, from `source` first, unless it is held."""
-        reference = state.content_reference
-        if reference is None or self._contents.holds(state):
-            return
-        hosts = self.live_hosts(self._now)
-        if source in ("", self._host) and hosts:
-            source = hosts[0]
-        if source not in ("", self._host):
-            self._fetcher.request(reference, source, self._now)
-
-    def offer(self, host: str, offer: OfferContent) -> None:
-        """Offer a content to a control host."""
-        if host == self._host:
-            self._handle_offer(host, offer)
-        else:
-            self._transport.send(host, offer)
+    def accept_is_possible(self, host: str, request: AcceptState) -> None:
+        """Pass on a request to accept a state whose content has arrived."""
+        self._voter.receive(host, request)
 
     def reply(self, host: str, message: EnsembleReply) -> None:
         """Deliver a reply of this host's voter to the proposer on `host`."""
@@ -276,7 +252,7 @@
     def receive(self, host: str, message: EnsembleHostMessage, now: float) -> None:
         """Process a message from another control host."""
         self._now = now
-        message = self._with_small_state(message)
+        message = self._content_exchange.with_small_state(message)
         match message:
             case PrepareState() | AcceptState() | ReadState():
                 self._pass_to_voter(host, message)
@@ -285,19 +261,13 @@
             case FetchState():
                 self.answer_fetch(host, message)
             case ChosenState():
-                self.fetch_content(message.state, host)
+                self._content_exchange.fetch(message.state, host, now)
                 self._proposer.learn(message.state)
-            case FetchContent():
-                self.send_chunk(host, message)
-            case ContentChunk():
-                self._receive_chunk(message, now)
-            case OfferContent():
-                self._handle_offer(host, message)
-            case ContentHeld():
-                self._spreader.receive(message)
+            case FetchContent() | ContentChunk() | OfferContent() | ContentHeld():
+                self._content_exchange.receive(host, message, now)
             case _:
                 if isinstance(message, StatePromise | StateAnswer) and message.state:
-                    self.fetch_content(message.state, host)
+                    self._content_exchange.fetch(message.state, host, now)
                 self._proposer.receive(message, now)
 
     def answer_fetch(self, host: str, fetch: FetchState) -> None:
@@ -306,13 +276,6 @@
         if current is not None and current.revision > fetch.revision:
             self._transport.send(host, ChosenState(current))
 
-    def send_chunk(self, host: str, fetch: FetchContent) -> None:
-        """Send a chunk of a content if this host holds it."""
-        encoded = self._contents.encoded(fetch.reference)
-        chunk = chunk_of(encoded, fetch) if encoded is not None else None
-        if chunk is not None:
-            self._transport.send(host, chunk)
-
     def tick(self, now: float) -> None:
         """Send hellos, replace failed voters, and advance voter and proposer."""
         self._now = now
@@ -330,81 +293,22 @@
         self._now = now
         self._voter.vote_written(succeeded, now)
 
-    def _with_small_state(self, message: EnsembleHostMessage) -> EnsembleHostMessage:
-        """Return a message whose state is small enough to be sent on and reported."""
-        if not isinstance(
-            message, AcceptState | StatePromise | StateAnswer | ChosenState
-        ):
-            return message
-        if message.state is None:
-            return message
-        state = self._contents.detach_large(message.state)
-        if state is message.state:
-            return message
-        return msgspec.structs.replace(message, state=state)
-
     def _pass_to_voter(self, host: str, request: EnsembleRequest) -> None:
         """Pass a request to this host's voter, once it can keep the state."""
-        if isinstance(request, AcceptState) and not self._contents.holds(request.state):
-            self._waiting_accepts[host] = request
-            self.fetch_content(request.state, host)
+        if isinstance(request, AcceptState) and self._content_exchange.hold_back(
+            host, request, self._now
+        ):
             return
-        self._waiting_accepts.pop(host, None)
         self._voter.receive(host, request)
 
-    def _handle_offer(self, host: str, offer: OfferContent) -> None:
-        reference = offer.reference
-        if self._contents.encoded(reference) is None:
-            self._content_offers.add((host, reference))
-            self._fetcher.request(reference, host, self._now)
-            return
-        held = ContentHeld(self._voter.vote.disk_id, reference)
-        if host == self._host:
-            self._spreader.receive(held)
-        else:
-            self._transport.send(host, held)
-
-    def _receive_chunk(self, chunk: ContentChunk, now: float) -> None:
-        encoded = self._fetcher.receive(chunk, now)
-        if encoded is None:
-            return
-        reference = self._contents.add(encoded)
-        for host, offered in sorted(self._content_offers, key=_offering_host):
-            if offered == reference:
-                self._content_offers.discard((host, offered))
-                self._handle_offer(host, OfferContent(reference))
-        for host, accept in list(self._waiting_accepts.items()):
-            if self._contents.holds(accept.state):
-                self._pass_to_voter(host, accept)
-
     def _tick_contents(self, now: float) -> None:
         # The stored content of the vote may be damaged.
-        self.fetch_content(self._voter.vote.state)
+        states = [self._voter.vote.state]
         if self.current is not None:
-            self.fetch_content(self.current)
-        self._fetcher.tick(self.live_hosts(now), now)
-        self._content_offers = {
-            (host, reference)
-            for host, reference in self._content_offers
-            if self._fetcher.is_fetching(reference)
-        }
-        self._waiting_accepts = {
-            host: accept
-            for host, accept in self._waiting_accepts.items()
-            if accept.state.content_reference is not None
-            and self._fetcher.is_fetching(accept.state.content_reference)
-        }
-        self._spreader.tick(now)
-        if self._contents.is_empty:
-            return
-        states = [
-            *self._voter.states,
-            *self._proposer.states,
-            *(accept.state for accept in self._waiting_accepts.values()),
-        ]
-        references = [state.content_reference for state in states]
-        in_use = [reference for reference in references if reference is not None]
-        self._contents.evict([*in_use, *self._spreader.references], now)
+            states.append(self.current)
+        for state in states:
+            self._content_exchange.fetch(state, "", now)
+        self._content_exchange.tick((*self._voter.states, *self._proposer.states), now)
 
     def _majority_contact_at(self, members: tuple[Member, ...], now: float) -> float:
         heard_at = {host: peer.last_received_at for host, peer in self._peers.items()}
@@ -545,10 +449,6 @@
         return now - peer.last_received_at > VOTER_REPLACEMENT_DELAY_SECONDS
 
 
-def _offering_host(offer: tuple[str, ContentReference]) -> str:
-    return offer[0]
-
-
 def _is_live(peer: _Peer, now: float) -> bool:
     return bool(peer.disk_id) and now - peer.last_received_at < LIVENESS_TIMEOUT_SECONDS
 
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -50,10 +50,10 @@
 # Time without a subscribe message after which an entry host gets no more updates.
 SUBSCRIPTION_RETENTION_SECONDS = 10.0
 HEARTBEAT_CHECK_INTERVAL_SECONDS = 0.2
-# In this many heartbeat intervals after its start, a control host receives a heartbeat
-# from every backend server that sends heartbeats to it.
 # Pause between writes of the list of servers, which a release changes once a second.
 SERVER_LIST_INTERVAL_SECONDS = 1.0
+# In this many heartbeat intervals after its start, a control host receives a heartbeat
+# from every backend server that sends heartbeats to it.
 DISCOVERY_HEARTBEAT_INTERVALS = 1.3
 
 
@@ -143,6 +143,7 @@
             clock(),
             contents,
         )
+        self._contents = self._ensemble.content_exchange
         self._publisher = ConfigurationPublisher(self._ensemble, decode, self.document)
         self._pending_documents: list[_PendingDocument] = []
         self._updates = UpdateSender(self._own_source, transport, self._ensemble)
@@ -214,10 +215,10 @@
             on_result(state)
 
         def await_content(state: RoutingState | None) -> None:
-            if state is None or self._ensemble.contents.holds(state):
+            if state is None or self._contents.contents.holds(state):
                 record_result(state)
             else:
-                self._ensemble.fetch_content(state)
+                self._contents.fetch(state, "", self._clock())
                 self._pending_documents.append(
                     _PendingDocument(state, record_result, deadline)
                 )
@@ -243,7 +244,7 @@
         if state is None:
             return None
         try:
-            content = self._ensemble.contents.content(state)
+            content = self._contents.contents.content(state)
             return None if content is None else content.document
         except MalformedMessageError as error:
             self._metrics.count("states_malformed")
@@ -346,7 +347,7 @@
             case FetchState():
                 self._ensemble.answer_fetch(address, message)
             case FetchContent():
-                self._ensemble.send_chunk(address, message)
+                self._contents.receive(address, message, now)
             case _:
                 self._ensemble.receive(address, message, now)  # type: ignore[arg-type]
 
@@ -391,7 +392,7 @@
         """Answer the reads whose content has arrived, or is late."""
         pending, self._pending_documents = self._pending_documents, []
         for read in pending:
-            if self._ensemble.contents.holds(read.state):
+            if self._contents.contents.holds(read.state):
                 read.on_result(read.state)
             elif now >= read.deadline:
                 read.on_result(None)
--- a/tests/ensemble_cluster.py
+++ b/tests/ensemble_cluster.py
@@ -180,14 +180,14 @@
         """Propose a configuration; a large one is not spread before."""
 
         def add_content(state: RoutingState) -> RoutingState:
-            contents = self.running[host].contents
+            contents = self.running[host].content_exchange.contents
             return contents.attach(state, RoutingContent(document))
 
         return self.change(host, put_configuration(version, add_content))
 
     def document(self, host: str, state: RoutingState) -> bytes | None:
         """Return the configuration of a state, if a host holds its content."""
-        content = self.running[host].contents.content(state)
+        content = self.running[host].content_exchange.contents.content(state)
         return None if content is None else content.configuration
 
     def set_zone(self, host: str, zone: str, in_service: bool) -> Operation:
