--- a/src/kingcuppulley/control/content_transfer.py
+++ b/src/kingcuppulley/control/content_transfer.py
@@ -24,6 +24,7 @@
 SOURCE_TIMEOUT_SECONDS = 0.35
 # A fetch ends if the content has not been requested again for this long.
 FETCH_RETENTION_SECONDS = 5.0
+_LOST = float("-inf")
 
 
 class FetchContent(msgspec.Struct, frozen=True, array_like=True, tag="xf"):
@@ -73,8 +74,8 @@
     chunks : dict of int to bytes
         Received chunks by offset.
     requested_at : dict of int to float
-        When each missing chunk was requested, the one requested first before.  A chunk
-        that is certainly lost has the time 0.
+        When each missing chunk was requested, the one requested first before.  It is
+        `_LOST` for a chunk whose answer is certainly lost.
     chunk_timeout : float
         Seconds after which a chunk counts as lost; longer on a link that is slow.
     """
@@ -123,9 +124,9 @@
         for offset in list(self.requested_at):
             if offset == chunk.offset:
                 break
-            self.requested_at[offset] = 0.0
+            self.requested_at[offset] = _LOST
         del self.requested_at[chunk.offset]
-        if requested_at:
+        if requested_at != _LOST:
             self._limit_timeout(2 * (now - requested_at))
 
     def due_offsets(self, now: float) -> list[int]:
@@ -134,7 +135,7 @@
         for offset, requested_at in list(self.requested_at.items()):
             if now < requested_at + self.chunk_timeout:
                 continue
-            if requested_at:
+            if requested_at != _LOST:
                 self._limit_timeout(2 * self.chunk_timeout)
             # Behind the others, in the order of the requests.
             del self.requested_at[offset]
