Keep what earlier builds can carry a part of the state

A configuration of 2,000 to 3,700 routes fits a message of the build before this one. With a bound of 30,000 bytes its states became ones that entry hosts of that build cannot decode, so during an upgrade they would not learn that a zone is taken out. The bound is 55,000 bytes now.

--- a/src/kingcuppulley/control/routing_content.py
+++ b/src/kingcuppulley/control/routing_content.py
@@ -22,9 +22,9 @@
 DEFAULT_DOCUMENT_BYTES = 4 * 1024 * 1024
 # A document may hardly shrink when it is compressed, and earlier services add to it.
 MAXIMUM_CONTENT_BYTES = 4 * LARGEST_DOCUMENT_BYTES
-# Leaves room in a datagram for the rest of a state, and arrives over a link of 2 Mbit/s
-# before an entry host requests the state again.
-MAXIMUM_INLINE_BYTES = 30_000
+# Leaves room in a datagram for the rest of a state.  Hosts of earlier builds understand
+# no other states, and a deployment of theirs may have one that hardly fits.
+MAXIMUM_INLINE_BYTES = 55_000
 
 ContentDigest = Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
 ContentSize = Annotated[int, msgspec.Meta(ge=1, le=MAXIMUM_CONTENT_BYTES)]
