--- a/src/kingcuppulley/experiments/configuration_size.py
+++ b/tests/configuration_size.py
@@ -1,7 +1,7 @@
 """Measure what a configuration of many routes costs the hosts that hold it.
 
 The rows are in a table of docs/CAPACITY.md.  Print them with
-`python -m kingcuppulley.experiments.configuration_size`.
+`python -m tests.configuration_size`.
 """
 
 from __future__ import annotations
