Decide in one place whether a state names its content, and handle chunks in one place

ContentStore measured a content in two copies of the same code, and SeededControlHost handled FetchContent as EnsembleHost does for it anyway. No behaviour changes.

--- a/src/kingcuppulley/control/content_store.py
+++ b/src/kingcuppulley/control/content_store.py
@@ -65,10 +65,7 @@
 
     def attach(self, state: RoutingState, content: RoutingContent) -> RoutingState:
         """Return a state with a content: as a part of it, or named if it is large."""
-        encoded = encode_content(content)
-        if len(encoded) <= MAXIMUM_INLINE_BYTES:
-            return state.with_content(content)
-        return state.with_reference(self.add(encoded))
+        return self._reference_if_large(state.with_content(content))
 
     def detach_large(self, state: RoutingState) -> RoutingState:
         """Return a state that fits a message, whatever an earlier build put into it."""
@@ -80,10 +77,7 @@
         ):
             # Most states, which need not be encoded to be measured.
             return state
-        encoded = encode_content(content)
-        if len(encoded) <= MAXIMUM_INLINE_BYTES:
-            return state
-        return state.with_reference(self.add(encoded))
+        return self._reference_if_large(state)
 
     def evict(self, in_use: Iterable[ContentReference], now: float) -> None:
         """Drop contents that have not been in use for a while, or are too many."""
@@ -101,3 +95,10 @@
             unused_bytes -= reference.size
             del self._unused_since[reference]
             del self._encoded[reference]
+
+    def _reference_if_large(self, state: RoutingState) -> RoutingState:
+        """Return a state with a reference in place of its content if that is large."""
+        encoded = encode_content(state.inline_content)
+        if len(encoded) <= MAXIMUM_INLINE_BYTES:
+            return state
+        return state.with_reference(self.add(encoded))
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -13,7 +13,6 @@
 from kingcuppulley.control.awaited_requests import AwaitedRequests, Caller
 from kingcuppulley.control.configuration_publisher import ConfigurationPublisher
 from kingcuppulley.control.content_store import ContentStore
-from kingcuppulley.control.content_transfer import FetchContent
 from kingcuppulley.control.ensemble_host import EnsembleHost
 from kingcuppulley.control.ensemble_messages import (
     EnsembleHostMessage,
@@ -346,8 +345,6 @@
                 self._notify(address, is_urgent=False)
             case FetchState():
                 self._ensemble.answer_fetch(address, message)
-            case FetchContent():
-                self._contents.receive(address, message, now)
             case _:
                 self._ensemble.receive(address, message, now)  # type: ignore[arg-type]
 
