Drop the chunks of a fetch that an entry host stops

An entry host that received a state with its content kept the chunks of the large one that it was fetching until it fetched again, up to the size of a configuration. Found by reading. test_a_fetch_that_is_stopped_holds_no_chunks failed before and passes now.

--- a/src/kingcuppulley/control/content_transfer.py
+++ b/src/kingcuppulley/control/content_transfer.py
@@ -187,6 +187,10 @@
             self._request_chunks(fetch, now)
         fetch.retention_deadline = now + FETCH_RETENTION_SECONDS
 
+    def clear(self) -> None:
+        """End all fetches, and drop the chunks that have arrived."""
+        self._fetches.clear()
+
     def is_fetching(self, reference: ContentReference) -> bool:
         """Return whether a content is being fetched."""
         return reference in self._fetches
--- a/src/kingcuppulley/entry_hosts/content_follower.py
+++ b/src/kingcuppulley/entry_hosts/content_follower.py
@@ -46,6 +46,7 @@
     def stop(self) -> None:
         """Fetch nothing, because a newer state contains its content."""
         self._fetched = self._newest = None
+        self._fetcher.clear()
 
     def receive(
         self, chunk: ContentChunk, source: str, now: float
--- a/tests/cover/test_large_configurations.py
+++ b/tests/cover/test_large_configurations.py
@@ -29,6 +29,7 @@
 )
 from kingcuppulley.control.state import ChosenVoters, RoutingState, Vote
 from kingcuppulley.control.vote_store import FileVoteStore
+from kingcuppulley.entry_hosts.content_follower import ContentFollower
 from kingcuppulley.errors import StorageError
 from tests.control_traffic import ControlNetwork
 from tests.ensemble_cluster import EnsembleCluster
@@ -337,3 +338,16 @@
     contents.evict([used], 100.1 + UNUSED_RETENTION_SECONDS)
     assert contents.encoded(unused) is None
     assert contents.encoded(used) == b"used"
+
+
+def test_a_fetch_that_is_stopped_holds_no_chunks():
+    # Guards against an entry host that keeps most of a configuration it will not use.
+    sent: list[tuple[str, FetchContent]] = []
+    follower = ContentFollower(lambda host, fetch: sent.append((host, fetch)))
+    encoded = Random(1).randbytes(3 * CHUNK_BYTES)
+    state = RoutingState(1).with_reference(reference_to(encoded))
+    follower.follow(state, "a", 1.0)
+    chunk = chunk_of(encoded, sent[0][1])
+    assert follower.receive(chunk, "a", 1.1) is None
+    follower.stop()
+    assert not follower._fetcher.is_busy
