Build the content of a configuration once for the state that it follows

Since contents are spread before they are proposed, the earlier services of every route were computed twice for each accepted configuration, on the control host's event loop: 69 ms each time at 16,000 routes that all move, 3.5 ms at 1,000 (processor time, x86-64). The publication keeps the content with the configuration and earlier services it follows, and builds it again only when these differ. No behaviour changes.

--- a/src/kingcuppulley/control/configuration_publisher.py
+++ b/src/kingcuppulley/control/configuration_publisher.py
@@ -21,11 +21,18 @@
 MAXIMUM_DECODED = 2
 
 
+_Base = tuple[bytes | ContentReference, tuple[EarlierServices, ...]]
+
+
 class _Publication:
     """Hold one configuration until it is accepted or its deadline passes.
 
     Attributes
     ----------
+    base : tuple or None
+        Configuration and earlier services of the state that `content` was built for.
+    content : RoutingContent
+        Content after the change.
     spread : ContentReference or None
         Content that a quorum holds, so that a state may name it.
     is_waiting : bool
@@ -37,6 +44,8 @@
         "compressed",
         "on_result",
         "deadline",
+        "base",
+        "content",
         "spread",
         "is_waiting",
     )
@@ -52,6 +61,8 @@
         self.compressed = compressed
         self.on_result = on_result
         self.deadline = deadline
+        self.base: _Base | None = None
+        self.content = RoutingContent()
         self.spread: ContentReference | None = None
         self.is_waiting = False
 
@@ -162,18 +173,25 @@
         if not contents.holds(state):
             self._contents.fetch(state, "", self._now)
             return None
-        configuration = publication.configuration
+        base = (state.configuration, state.earlier_services)
+        if publication.base != base:
+            publication.content = self._build_content(publication, state)
+            publication.base = base
+        changed = contents.attach(state, publication.content)
+        self._remember(changed, publication.configuration)
+        return changed
+
+    def _build_content(
+        self, publication: _Publication, state: RoutingState
+    ) -> RoutingContent:
         earlier_services: tuple[EarlierServices, ...] = ()
         previous = self._decoded_configuration(state)
-        previous_content = contents.content(state)
+        previous_content = self._contents.contents.content(state)
         if previous is not None and previous_content is not None:
             earlier_services = find_earlier_services(
-                previous, previous_content.earlier_services, configuration
+                previous, previous_content.earlier_services, publication.configuration
             )
-        content = RoutingContent(publication.compressed, earlier_services)
-        changed = contents.attach(state, content)
-        self._remember(changed, configuration)
-        return changed
+        return RoutingContent(publication.compressed, earlier_services)
 
     def _decoded_configuration(
         self, state: RoutingState
