--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,6 +13,7 @@
 from standins import (  # noqa: E402
     CONTACT_SECONDS,
     DRAIN_SECONDS,
+    HEARTBEAT_SECONDS,
     CannotRun,
     Client,
     Deployment,
@@ -62,7 +63,8 @@
         )
         servers.append(added)
         added.start()
-        time.sleep(1.0)
+        # Its second heartbeat, which is a change, comes 0.1 s after the freeze begins.
+        time.sleep(HEARTBEAT_SECONDS - 0.1)
         frozen = deployment.controls[0]
         if has_trouble:
             frozen.signal(signal.SIGSTOP)
