Ignore updates that are older than what is known of their control host

Cause: an update that ends before the position reached left the position as it was, but its content replaced the later one. A control host that was paused sends such updates from its copy of before the pause. The later change is not sent again. Silences, leaves, new incarnations, addresses and moves were undone likewise, and a cold time started again whenever its report was looked at. An earlier process of a restarted control host took over, at entry hosts and in the copies of relays.

Change: reports are stored with the number of the last change of their update and with the deadline of their cold time. An update of an earlier process, or one that ends before the known position, changes nothing; beyond a gap, each server is ordered by that number. The number orders all changes of one process, also those without a heartbeat, and no clock of another host is involved. Relays decide by the same rule.

--- a/src/kingcuppulley/backend_servers/target_registry.py
+++ b/src/kingcuppulley/backend_servers/target_registry.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
+from kingcuppulley.backend_servers.instance_order import InstanceOrder
 from kingcuppulley.backend_servers.zone_returns import ZoneReturns
 from kingcuppulley.internal.rendezvous import hash_name
 
@@ -81,24 +82,69 @@
     return (hash_name(f"{name}/{incarnation}") & 0xFFFFFFFF) or 1
 
 
+class _Report:
+    """Hold what one control host reported on a server.
+
+    Attributes
+    ----------
+    change_number : int
+        That of the update that brought the report.
+    cold_deadline : float
+        Until when the server is cold, by this report.
+    """
+
+    __slots__ = ("heartbeat", "change_number", "cold_deadline")
+
+    def __init__(self, heartbeat: Heartbeat, change_number: int, now: float) -> None:
+        self.heartbeat = heartbeat
+        self.change_number = change_number
+        self.cold_deadline = now + heartbeat.cold_remaining_seconds
+
+    @property
+    def order(self) -> tuple[int, bool, int]:
+        """Return the key that orders reports of several control hosts on one server.
+
+        A leave is final within its incarnation.
+        """
+        heartbeat = self.heartbeat
+        has_left = heartbeat.state is ServingState.GONE
+        return (heartbeat.incarnation, has_left, heartbeat.sequence)
+
+
 class _Source:
-    """Hold the heartbeats that the current instance of one control host reported."""
+    """Hold what the current instance of one control host reported."""
 
-    __slots__ = ("instance", "change_number", "heartbeats")
+    __slots__ = ("instance", "change_number", "reports")
 
     def __init__(self, instance: str) -> None:
         self.instance = instance
         self.change_number = 0
-        self.heartbeats: dict[str, Heartbeat] = {}
+        self.reports: dict[str, _Report] = {}
+
+    def store(self, heartbeat: Heartbeat, change_number: int, now: float) -> bool:
+        """Store a report unless this or a later one is known; return whether it is new.
+
+        An update holds the state that its servers had when it was sent, so of two
+        updates the one that ends at the higher change number is not older.
+        """
+        known = self.reports.get(heartbeat.name)
+        if known is not None and change_number <= known.change_number:
+            return False
+        self.reports[heartbeat.name] = _Report(heartbeat, change_number, now)
+        return True
 
 
 class TargetRegistry:
     """Hold the backend servers that one entry host knows.
 
     Each control host reports only the heartbeats that it received itself; of several
-    reports on a server the newest wins.  When a control host restarts, the reports of
-    its previous instance stay valid for `PREVIOUS_INSTANCE_RETENTION_SECONDS`, so that
-    the servers have time to send heartbeats to the new instance.  Servers whose newest
+    reports on a server the newest wins.  Updates may arrive late, twice or in another
+    order, from a control host or from one that relays them.  What is older than the
+    known reports of its control host changes nothing.
+
+    When a control host restarts, the reports of its previous instance stay valid for
+    `PREVIOUS_INSTANCE_RETENTION_SECONDS`, so that the servers have time to send
+    heartbeats to the new instance.  Servers whose newest
     report is from before the last return of their zone count as cold; see
     `ZoneReturns`.
     """
@@ -108,7 +154,8 @@
     ) -> None:
         self._zone_returns = ZoneReturns(cold_seconds_of)
         self._sources: dict[str, _Source] = {}
-        self._previous_instances: list[tuple[float, dict[str, Heartbeat]]] = []
+        self._instance_orders: dict[str, InstanceOrder] = {}
+        self._previous_instances: list[tuple[float, dict[str, _Report]]] = []
         self._targets: dict[str, RegisteredTarget] = {}
         self._by_cookie: dict[int, RegisteredTarget] = {}
         self._by_service: dict[str, list[RegisteredTarget]] = {}
@@ -150,6 +197,22 @@
         source = self._sources.get(host)
         return (source.instance, source.change_number) if source else ("", 0)
 
+    def is_outdated(
+        self, host: str, instance: str, change_number: int, received_at: float
+    ) -> bool:
+        """Return whether all changes of an update are known, and later ones too.
+
+        `received_at` is when the update arrived, here or at the host that relayed it.
+        An update without changes since the last one is not outdated.
+        """
+        order = self._instance_orders.get(host)
+        if order is None:
+            return False
+        if order.is_outdated(instance, received_at):
+            return True
+        source = self._sources[host]
+        return source.instance == instance and change_number < source.change_number
+
     def update(
         self,
         host: str,
@@ -158,31 +221,49 @@
         heartbeats: list[Heartbeat],
         now: float,
         since_change_number: int = 0,
+        received_at: float | None = None,
     ) -> list[RegisteredTarget]:
         """Apply a control host's update and return the servers that changed.
 
         The update holds the changes after `since_change_number` up to `change_number`.
-        An entry host that has just restarted may receive an update that continues from
-        its position before the restart.  The position then does not advance, so that
-        the entry host still requests the changes that it lacks.
+        If an earlier update was lost, its changes are newer than what is known, but the
+        position does not advance, so that the entry host still requests the changes
+        that it lacks.  `received_at` is as in `is_outdated`, and `now` if left out.
         """
-        source = self._sources.get(host)
-        if source is None or source.instance != instance:
-            if source is not None:
-                self._previous_instances.append(
-                    (now + PREVIOUS_INSTANCE_RETENTION_SECONDS, source.heartbeats)
-                )
-            source = self._sources[host] = _Source(instance)
-        changed = []
+        received_at = now if received_at is None else received_at
+        if self.is_outdated(host, instance, change_number, received_at):
+            return []
+        source = self._current_source(host, instance, received_at, now)
+        if change_number <= source.change_number:
+            return []
         if since_change_number <= source.change_number:
-            source.change_number = max(source.change_number, change_number)
+            source.change_number = change_number
+        changed = []
         for heartbeat in heartbeats:
-            source.heartbeats[heartbeat.name] = heartbeat
+            if not source.store(heartbeat, change_number, now):
+                continue
             target = self._merge(heartbeat.name, now)
             if target is not None:
                 changed.append(target)
         return changed
 
+    def _current_source(
+        self, host: str, instance: str, received_at: float, now: float
+    ) -> _Source:
+        """Return what an instance reported; it is the current one from now on."""
+        order = self._instance_orders.get(host)
+        if order is None:
+            order = self._instance_orders[host] = InstanceOrder(instance, received_at)
+        order.record(instance, received_at)
+        source = self._sources.get(host)
+        if source is not None and source.instance == instance:
+            return source
+        if source is not None:
+            deadline = now + PREVIOUS_INSTANCE_RETENTION_SECONDS
+            self._previous_instances.append((deadline, source.reports))
+        source = self._sources[host] = _Source(instance)
+        return source
+
     def record_zone_return(self, zone: str, revision: int, now: float) -> None:
         """Treat the servers of a zone as cold until they report after its return."""
         if not self._zone_returns.record(zone, revision, now):
@@ -198,9 +279,10 @@
         heartbeats to another control host.
         """
         source = self._sources.pop(host, None)
+        self._instance_orders.pop(host, None)
         if source is None:
             return []
-        merged = [self._merge(name, now) for name in source.heartbeats]
+        merged = [self._merge(name, now) for name in source.reports]
         return [target for target in merged if target is not None]
 
     def tick(self, now: float) -> list[RegisteredTarget]:
@@ -211,8 +293,8 @@
         """
         changed = []
         while self._previous_instances and now >= self._previous_instances[0][0]:
-            _, heartbeats = self._previous_instances.pop(0)
-            for name in heartbeats:
+            _, reports = self._previous_instances.pop(0)
+            for name in reports:
                 target = self._merge(name, now)
                 if target is not None:
                     changed.append(target)
@@ -228,7 +310,7 @@
                 continue
             self._remove(target)
             for source in self._sources.values():
-                source.heartbeats.pop(name, None)
+                source.reports.pop(name, None)
 
     def _remove(self, target: RegisteredTarget) -> None:
         del self._targets[target.name]
@@ -245,14 +327,14 @@
     def _merge(self, name: str, now: float) -> RegisteredTarget | None:
         """Update a server from its newest report and return it if it changed."""
         reports = [
-            source.heartbeats[name]
+            source.reports[name]
             for source in self._sources.values()
-            if name in source.heartbeats
+            if name in source.reports
         ]
         reports += [
-            heartbeats[name]
-            for _, heartbeats in self._previous_instances
-            if name in heartbeats
+            earlier_reports[name]
+            for _, earlier_reports in self._previous_instances
+            if name in earlier_reports
         ]
         target = self._targets.get(name)
         if not reports:
@@ -261,9 +343,10 @@
                 target.state = ServingState.UNRESPONSIVE
                 target.changed_at = now
             return target
-        newest = max(reports, key=_report_order)
+        report = max(reports, key=lambda report: report.order)
+        newest = report.heartbeat
         if target is None or target.incarnation != newest.incarnation:
-            return self._add(newest, now)
+            return self._add(report, now)
         has_changed = target.state is not newest.state
         if has_changed:
             self._version += 1
@@ -271,12 +354,11 @@
         target.state = newest.state
         target.slots = newest.slots
         target.endpoint = (newest.host, newest.port)
-        cold_deadline = now + newest.cold_remaining_seconds
         if newest.known_return_revision > target.known_return_revision:
             # The first report after a return of the zone replaces the presumption.
             target.known_return_revision = newest.known_return_revision
-            target.cold_deadline = cold_deadline
-        target.cold_deadline = max(target.cold_deadline, cold_deadline)
+            target.cold_deadline = report.cold_deadline
+        target.cold_deadline = max(target.cold_deadline, report.cold_deadline)
         self._presume_cold(target)
         return target if has_changed else None
 
@@ -286,10 +368,11 @@
         )
         target.cold_deadline = max(target.cold_deadline, deadline)
 
-    def _add(self, heartbeat: Heartbeat, now: float) -> RegisteredTarget:
+    def _add(self, report: _Report, now: float) -> RegisteredTarget:
         self._version += 1
+        heartbeat = report.heartbeat
         target = RegisteredTarget(heartbeat)
-        target.cold_deadline = now + heartbeat.cold_remaining_seconds
+        target.cold_deadline = report.cold_deadline
         self._presume_cold(target)
         target.changed_at = now
         previous = self._targets.get(heartbeat.name)
@@ -301,9 +384,3 @@
         self._by_cookie.setdefault(target.cookie, target)
         self._by_service.setdefault(target.service, []).append(target)
         return target
-
-
-def _report_order(heartbeat: Heartbeat) -> tuple[int, bool, int]:
-    """Order reports on one server; a leave is final within its incarnation."""
-    has_left = heartbeat.state is ServingState.GONE
-    return (heartbeat.incarnation, has_left, heartbeat.sequence)
--- a/src/kingcuppulley/control/relayed_sources.py
+++ b/src/kingcuppulley/control/relayed_sources.py
@@ -8,6 +8,7 @@
 from kingcuppulley.backend_servers.change_log import ChangeLog
 from kingcuppulley.backend_servers.heartbeat_table import HEARTBEAT_RETENTION_SECONDS
 from kingcuppulley.backend_servers.heartbeats import ServingState
+from kingcuppulley.backend_servers.instance_order import InstanceOrder
 from kingcuppulley.control.update_source import UpdateSource
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlUpdate,
@@ -44,6 +45,7 @@
         self._zone = zone
         self._send = send
         self._sources: dict[str, UpdateSource] = {}
+        self._instance_orders: dict[str, InstanceOrder] = {}
         self._subscription_deadline = 0.0
         self._eviction_deadline = 0.0
         self._host_list_deadlines: dict[str, float] = {}
@@ -70,6 +72,7 @@
         for host, source in list(self._sources.items()):
             if now - source.last_received_at > COPY_RETENTION_SECONDS:
                 del self._sources[host]
+                del self._instance_orders[host]
                 self._host_list_deadlines.pop(host, None)
         if now >= self._eviction_deadline:
             self._eviction_deadline = now + EVICTION_INTERVAL_SECONDS
@@ -77,6 +80,13 @@
 
     def apply_update(self, update: ControlUpdate, now: float) -> News:
         """Copy an update and return what it means for followers."""
+        order = self._instance_orders.get(update.host)
+        if order is None:
+            order = InstanceOrder(update.instance, now)
+            self._instance_orders[update.host] = order
+        if order.is_outdated(update.instance, now):
+            return News.NONE
+        order.record(update.instance, now)
         source = self._sources.get(update.host)
         news = News.NONE
         if source is None or source.instance != update.instance:
@@ -86,11 +96,13 @@
             if not update.change_number:
                 # The first answer names only the instance; its changes follow.
                 self._subscribe(update.host)
-        source.relay_zone = update.relay_zone
         source.last_received_at = now
+        known_change_number = source.log.change_number
+        if update.change_number < known_change_number:
+            return news
+        source.relay_zone = update.relay_zone
         source.discovery_deadline = now + update.discovery_remaining_ms / 1000
         self._request_host_list(source, update, now)
-        known_change_number = source.log.change_number
         if update.since_change_number > known_change_number:
             # An earlier update was lost; applying this one would hide its changes.
             self._subscribe(update.host)
--- a/src/kingcuppulley/entry_hosts/seeded_host.py
+++ b/src/kingcuppulley/entry_hosts/seeded_host.py
@@ -371,14 +371,13 @@
         self, update: ControlUpdate, received_at: float, now: float
     ) -> None:
         """Apply an update that arrived at `received_at`, here or at the relay."""
-        instance, _ = self._registry.subscription_position(update.host)
-        status = self._control.statuses.get(update.host)
-        is_older = status is not None and received_at < status.received_at
-        if is_older and instance and instance != update.instance:
-            # The relay has not received a message of the restarted control host yet.
-            return
         if self._control.record_received(update.host, received_at, now):
             self._log.event_unthrottled("control host reachable", control=update.host)
+        if self._registry.is_outdated(
+            update.host, update.instance, update.change_number, received_at
+        ):
+            self._metrics.count("updates_outdated")
+            return
         self._last_update_at = now
         self._control.add(update.control_hosts, now)
         self._control.record_relay_zone(update.host, update.relay_zone)
@@ -389,15 +388,15 @@
             update.targets,
             now,
             update.since_change_number,
+            received_at,
         )
         self._log_changed_targets(changed_targets)
         self._placement.set_discovery_deadline(
             now + update.discovery_remaining_ms / 1000
         )
-        if not is_older:
-            self._control.statuses[update.host].record_digest(
-                update.hosts_digest, received_at
-            )
+        status = self._control.statuses[update.host]
+        if received_at >= status.received_at:
+            status.record_digest(update.hosts_digest, received_at)
         if update.revision > self._newest_revision:
             self._newest_revision = update.revision
             self._newest_revision_host = update.host
