Send a lost update again while later changes go on

Cause: changes count as lost some time after the last sending, and each further change moved that time.

Change: the time runs from the first change that is not confirmed, and starts again when the subscriber's position advances.

--- a/src/kingcuppulley/control/update_sender.py
+++ b/src/kingcuppulley/control/update_sender.py
@@ -46,14 +46,43 @@
 
 
 class _SentPosition:
-    """Hold the last change of one control host that was sent to a subscriber."""
+    """Hold which changes of one control host a subscriber was sent, and has received.
 
-    __slots__ = ("instance", "change_number", "sent_at")
+    Attributes
+    ----------
+    change_number : int
+        Last change that was sent.
+    confirmed_number : int
+        Last change before which the subscriber lacks none.
+    resend_deadline : float
+        When changes that were sent and are not confirmed count as lost.
+    """
+
+    __slots__ = ("instance", "change_number", "confirmed_number", "resend_deadline")
 
     def __init__(self, instance: str, change_number: int) -> None:
         self.instance = instance
         self.change_number = change_number
-        self.sent_at = float("-inf")
+        self.confirmed_number = change_number
+        self.resend_deadline = float("-inf")
+
+    def record_sent(self, change_number: int, now: float) -> None:
+        """Record that changes are on their way."""
+        if self.change_number == self.confirmed_number:
+            self.resend_deadline = now + RESEND_DELAY_SECONDS
+        self.change_number = change_number
+
+    def confirm(self, change_number: int, now: float) -> None:
+        """Continue at a change number unless later changes are on their way.
+
+        Further changes that are sent meanwhile do not delay those that were lost.
+        """
+        if change_number > self.confirmed_number:
+            self.confirmed_number = change_number
+            self.resend_deadline = now + RESEND_DELAY_SECONDS
+            self.change_number = max(self.change_number, change_number)
+        elif now >= self.resend_deadline:
+            self.change_number = self.confirmed_number = change_number
 
 
 class Subscriber:
@@ -113,11 +142,8 @@
             self._positions[position.host] = _SentPosition(
                 position.instance, position.change_number
             )
-        elif (
-            position.change_number > sent.change_number
-            or now - sent.sent_at >= RESEND_DELAY_SECONDS
-        ):
-            sent.change_number = position.change_number
+        else:
+            sent.confirm(position.change_number, now)
 
     def position(self, source: UpdateSource) -> int:
         """Return the last change number of a source that was sent to this host."""
@@ -132,8 +158,7 @@
         if sent is None or sent.instance != update.instance:
             sent = self._positions[update.host] = _SentPosition(update.instance, 0)
         if update.targets:
-            sent.change_number = update.change_number
-            sent.sent_at = now
+            sent.record_sent(update.change_number, now)
 
 
 class UpdateSender:
--- a/tests/cover/test_outdated_updates.py
+++ b/tests/cover/test_outdated_updates.py
@@ -9,13 +9,16 @@
 
 import pytest
 
+from kingcuppulley.backend_servers.change_log import ChangeLog
 from kingcuppulley.backend_servers.heartbeats import ServingState
 from kingcuppulley.backend_servers.instance_order import (
     CURRENT_INSTANCE_TIMEOUT_SECONDS,
 )
 from kingcuppulley.backend_servers.target_registry import TargetRegistry
 from kingcuppulley.control.relayed_sources import News, RelayedSources
-from kingcuppulley.entry_hosts.seeded_messages import ControlUpdate
+from kingcuppulley.control.update_sender import RESEND_DELAY_SECONDS, Subscriber
+from kingcuppulley.control.update_source import UpdateSource
+from kingcuppulley.entry_hosts.seeded_messages import ControlUpdate, SourcePosition
 from tests.seeded_fakes import SERVICE, heartbeat
 
 HOST = "control"
@@ -176,3 +179,23 @@
     assert sent == []
     assert source.relay_zone == "zone-b"
     assert source.discovery_deadline <= 1.1
+
+
+def test_a_lost_update_is_sent_again_while_later_changes_go_on():
+    # Guards against a subscriber that lacks a change for as long as others follow.
+    log = ChangeLog()
+    source = UpdateSource(HOST, INSTANCE, log, 0.0)
+    subscriber = Subscriber()
+    log.record_change(heartbeat("i-1"), 0.0)
+    position = SourcePosition(HOST, INSTANCE, 1)
+    subscriber.confirm(position, 0.0)
+    now = 0.0
+    is_first_lost = True
+    while subscriber.position(source) != 1 or is_first_lost:
+        now += RESEND_DELAY_SECONDS / 2
+        assert now < 5 * RESEND_DELAY_SECONDS
+        log.record_change(heartbeat("i-2", sequence=round(now * 1000)), now)
+        update = source.build_update(subscriber.position(source), [], -1, now)
+        subscriber.record_sent(update, now)
+        is_first_lost = False
+        subscriber.confirm(position, now)
