Ask one rule wherever an opening packet is handed to a server

Part of the requests were retransmitted opening packets.

Cause: a retransmission for which no other server was found, and a repeated copy, went back to their server without a look: beyond the limit of a cold server, and also if it had begun to drain, was silent, had left or was in a zone out of service.

Change: `ServerChoice.may_take` decides for every hand-over. A flow that no server has answered and whose server may not take it goes to another, waits in the queue or is refused by the usual rule. A retransmission proves that no server has answered, so it may be refused; a late answer takes the flow out of the queue. The copy that was handed over last is stored with the flow, so that the number of servers tried no longer stands for it.

--- a/src/kingcuppulley/fabric/flow_queue.py
+++ b/src/kingcuppulley/fabric/flow_queue.py
@@ -163,6 +163,10 @@
         """Remove a flow that gets no server."""
         del self._by_flow[request.flow]
 
+    def discard(self, flow: bytes) -> None:
+        """Remove a flow, if it is queued, because a server has answered it."""
+        self._by_flow.pop(flow, None)
+
     def take_displaced(self) -> list[FlowRequest]:
         """Remove and return the flows to refuse in favour of the flow added last.
 
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -26,6 +26,7 @@
 # Queued flows that are treated as within their objective, for each slot of the service.
 MAXIMUM_WITHIN_OBJECTIVE_PER_SLOT = 3
 LEAST_LOAD = "least load"
+NO_ANSWER = "no answer from the first server"
 
 
 class PlacementOutcome(Enum):
@@ -65,12 +66,20 @@
 class _PlacedFlow:
     """Hold where a flow was placed and until when it counts as open.
 
-    `unanswered_cookies` names the servers that it was placed on before and that did not
-    answer its caller.
+    Attributes
+    ----------
+    retransmission : int
+        That of the opening packet that was handed to `target`.
+    is_established : bool
+        Whether `target` has answered the caller.
+    unanswered_cookies : list of int
+        The servers that the flow was placed on before and that did not answer.
     """
 
     __slots__ = (
         "target",
+        "retransmission",
+        "is_established",
         "placed_at",
         "last_active_at",
         "is_counted",
@@ -83,6 +92,8 @@
 
     def __init__(self, target: RegisteredTarget, route: bytes, now: float) -> None:
         self.target = target
+        self.retransmission = 0
+        self.is_established = False
         self.route = route
         self.timed_request: TimedRequest | None = None
         self.placed_at = now
@@ -102,7 +113,8 @@
     server counts for `ESTABLISHMENT_TIMEOUT_SECONDS` only.  A retransmitted opening
     packet means that the server chosen first did not answer: the flow moves to another
     server, and the first one is suspected for a limited time, in which other servers
-    are preferred.
+    are preferred.  No opening packet is handed to a server that may not take it by
+    `ServerChoice.may_take`; a flow without any such server is queued or refused.
     """
 
     def __init__(
@@ -177,10 +189,14 @@
         """
         placed = self._flows.get(flow)
         if placed is None:
+            # A server may have answered after a retransmission was queued.
+            for queue in self._queues.values():
+                queue.discard(flow)
             if target is None:
                 return
             placed = self._record(flow, target, route, now)
             placed.is_counted = False
+        placed.is_established = True
         placed.last_active_at = now
         if not placed.is_counted:
             placed.is_counted = True
@@ -273,22 +289,53 @@
     def _place_retransmission(
         self, placed: _PlacedFlow, request: FlowRequest, now: float
     ) -> PlacementDecision:
-        if request.retransmission <= len(placed.unanswered_cookies):
+        is_repeated = request.retransmission <= placed.retransmission
+        if is_repeated and (
+            placed.is_established or self._may_go_back(placed, request, now)
+        ):
+            self._choice.limit_placements(placed.target, now)
             return PlacementDecision(PlacementOutcome.PLACED, placed.target, "repeated")
-        unanswered_target = placed.target
-        self._choice.load(unanswered_target.cookie).suspect(now)
-        placed.unanswered_cookies.append(unanswered_target.cookie)
+        if not is_repeated:
+            self._record_unanswered(placed, now)
+        excluded_cookies = [*placed.unanswered_cookies, placed.target.cookie]
+        target = self._choice.choose(request, excluded_cookies, now)[0]
+        if target is not None:
+            reason = "first server not in use" if is_repeated else NO_ANSWER
+            return self._move(placed, target, request, reason, now)
+        if not is_repeated and self._may_go_back(placed, request, now):
+            return self._move(placed, placed.target, request, "no other server", now)
         self._finish_request(placed, None, now)
-        target = self._choice.choose(request, placed.unanswered_cookies, now)[0]
-        if target is None:
-            return PlacementDecision(
-                PlacementOutcome.PLACED, unanswered_target, "no other server"
-            )
         self._expire(placed, now)
+        del self._flows[request.flow]
+        return self._place_new_flow(request, now)
+
+    def _record_unanswered(self, placed: _PlacedFlow, now: float) -> None:
+        """Suspect the server of a flow whose caller has got no answer."""
+        self._choice.load(placed.target.cookie).suspect(now)
+        placed.unanswered_cookies.append(placed.target.cookie)
+        self._finish_request(placed, None, now)
+
+    def _may_go_back(
+        self, placed: _PlacedFlow, request: FlowRequest, now: float
+    ) -> bool:
+        """Return whether a flow may be handed to its server once more."""
+        is_of_service = placed.target.service == request.service
+        return is_of_service and self._choice.may_take(placed.target, now)
+
+    def _move(
+        self,
+        placed: _PlacedFlow,
+        target: RegisteredTarget,
+        request: FlowRequest,
+        reason: str,
+        now: float,
+    ) -> PlacementDecision:
+        """Hand a flow that no server has answered to a server."""
+        self._expire(placed, now)
+        placed.retransmission = request.retransmission
+        placed.is_established = False
         self._count(placed, target, now)
-        return PlacementDecision(
-            PlacementOutcome.PLACED, target, "no answer from the first server"
-        )
+        return PlacementDecision(PlacementOutcome.PLACED, target, reason)
 
     def _place_new_flow(self, request: FlowRequest, now: float) -> PlacementDecision:
         target, has_capacity, slots = self._choice.choose(request, (), now)
@@ -322,6 +369,7 @@
         self, request: FlowRequest, target: RegisteredTarget, now: float
     ) -> PlacementDecision:
         placed = self._record(request.flow, target, request.route, now)
+        placed.retransmission = request.retransmission
         load = self._choice.load(target.cookie).total_flows
         if not request.retransmission:
             self._start_request(placed, now)
--- a/src/kingcuppulley/fabric/server_choice.py
+++ b/src/kingcuppulley/fabric/server_choice.py
@@ -229,6 +229,17 @@
                 index.remove(target.cookie)
         return self._compare_all(service, share, excluded_cookies, now)
 
+    def may_take(self, target: RegisteredTarget, now: float) -> bool:
+        """Return whether a server may be handed an opening packet now.
+
+        This leaves its load aside.  The rule is the same for every way to a server:
+        `choose` returns only servers that may take a flow.
+        """
+        if not self._is_in_service(target):
+            return False
+        load = self.load(target.cookie)
+        return self._may_use(target, self._rank(target, load, now), load, now)
+
     def ranked_servers(
         self, service: str, share: int, now: float
     ) -> list[RankedServer]:
