Report at once that a server in use has become cold

Cause: a first heartbeat with `ready` was ordinary news, collected for up to 0.1 s. Until then entry hosts used the server's earlier start, which was not cold. The flows that waited for servers already known to be cold all went to the last one that was not.

Change: a heartbeat makes prompt news if it says that a server is cold which entry hosts may hold for warm, by what any control host reported. Control hosts and relays send it at once, ten messages in 0.1 s to each follower at most; the rest is collected. New servers and later heartbeats stay ordinary news, so a release costs no further messages.

--- a/src/kingcuppulley/control/relayed_sources.py
+++ b/src/kingcuppulley/control/relayed_sources.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from enum import Enum, auto
 
 from kingcuppulley.backend_servers.change_log import ChangeLog
 from kingcuppulley.backend_servers.heartbeat_table import HEARTBEAT_RETENTION_SECONDS
 from kingcuppulley.backend_servers.heartbeats import ServingState
 from kingcuppulley.backend_servers.instance_order import InstanceOrder
+from kingcuppulley.control.news import News, classify
 from kingcuppulley.control.update_source import UpdateSource
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlUpdate,
@@ -24,26 +24,23 @@
 EVICTION_INTERVAL_SECONDS = 10.0
 
 
-class News(Enum):
-    """Name what an update of another control host means for followers.
+class RelayedSources:
+    """Subscribe to the other control hosts and keep copies of what they report.
 
-    News is urgent if a server may get no new flows any more.
+    `own_log` holds what this control host reports itself.
     """
 
-    NONE = auto()
-    ROUTINE = auto()
-    URGENT = auto()
-
-
-class RelayedSources:
-    """Subscribe to the other control hosts and keep copies of what they report."""
-
     def __init__(
-        self, address: str, zone: str, send: Callable[[str, object], None]
+        self,
+        address: str,
+        zone: str,
+        send: Callable[[str, object], None],
+        own_log: ChangeLog,
     ) -> None:
         self._address = address
         self._zone = zone
         self._send = send
+        self._own_log = own_log
         self._sources: dict[str, UpdateSource] = {}
         self._instance_orders: dict[str, InstanceOrder] = {}
         self._subscription_deadline = 0.0
@@ -55,6 +52,11 @@
         """Return the copies, one for each control host that was heard recently."""
         return self._sources.values()
 
+    @property
+    def logs(self) -> list[ChangeLog]:
+        """Return all that is known of servers: of this control host and the others."""
+        return [self._own_log, *(source.log for source in self._sources.values())]
+
     def host_list(self, digest: int) -> HostList | None:
         """Return a list of entry hosts of any copy by its digest, or None."""
         for source in self._sources.values():
@@ -108,9 +110,8 @@
             self._subscribe(update.host)
             return News.NONE
         if update.change_number > known_change_number:
+            news = classify(update.targets, self.logs, now)
             source.log.copy_changes(update.targets, update.change_number, now)
-            states = {target.state for target in update.targets}
-            news = News.ROUTINE if states <= {ServingState.READY} else News.URGENT
         if update.has_more:
             self._subscribe(update.host)
         return news
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from kingcuppulley.backend_servers.heartbeat_table import HeartbeatTable
-from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
+from kingcuppulley.backend_servers.heartbeats import Heartbeat
 from kingcuppulley.control.awaited_requests import AwaitedRequests, Caller
 from kingcuppulley.control.configuration_publisher import ConfigurationPublisher
 from kingcuppulley.control.content_store import ContentStore
@@ -18,9 +18,10 @@
     EnsembleHostMessage,
     FetchState,
 )
+from kingcuppulley.control.news import News, classify
 from kingcuppulley.control.proposer import StateCallback
 from kingcuppulley.control.receipt_history import ReceiptHistory
-from kingcuppulley.control.relayed_sources import News, RelayedSources
+from kingcuppulley.control.relayed_sources import RelayedSources
 from kingcuppulley.control.state import RoutingState, Vote, set_zone
 from kingcuppulley.control.update_sender import (
     Subscriber,
@@ -125,7 +126,9 @@
             clock() + DISCOVERY_HEARTBEAT_INTERVALS * heartbeat_seconds
         )
         self._own_source.relay_zone = zone
-        self._relayed = RelayedSources(address, zone, transport.send)
+        self._relayed = RelayedSources(
+            address, zone, transport.send, self._heartbeat_table.log
+        )
         self._heartbeat_check_deadline = 0.0
         self._stored_servers: ServerIdentities = frozenset()
         self._server_list_deadline = 0.0
@@ -260,7 +263,7 @@
         """Process a heartbeat.
 
         If the server gets no new flows any more, updates to subscribed hosts are sent
-        before this returns; other changes are collected for a short time.
+        before this returns; other changes may be collected for a short time.
         """
         self._last_heartbeat_at = self._clock()
         self._metrics.count("heartbeats")
@@ -269,6 +272,7 @@
             heartbeat = msgspec.structs.replace(
                 heartbeat, known_return_revision=known_return_revision
             )
+        news = classify([heartbeat], self._relayed.logs, self._last_heartbeat_at)
         if self._heartbeat_table.receive_heartbeat(heartbeat, self._last_heartbeat_at):
             self._log.event(
                 "backend server heartbeat",
@@ -280,9 +284,7 @@
                 sequence=heartbeat.sequence,
                 cold_seconds=heartbeat.cold_remaining_seconds,
             )
-            self._notify(
-                self._address, is_urgent=heartbeat.state is not ServingState.READY
-            )
+            self._notify(self._address, news)
 
     def restore_servers(self, heartbeats: list[Heartbeat]) -> None:
         """Report servers that an earlier process knew, for their open flows only."""
@@ -321,7 +323,7 @@
                 return
             if self._heartbeat_table.deregister(name, self._clock()):
                 self._log.event("backend server left", server=name)
-                self._notify(self._address, is_urgent=True)
+                self._notify(self._address, News.URGENT)
             on_done()
 
         self._awaited_requests.submit(caller, mark, self._clock())
@@ -335,14 +337,14 @@
             case ControlUpdate():
                 news = self._relayed.apply_update(message, now)
                 if news is not News.NONE:
-                    self._notify(message.host, is_urgent=news is News.URGENT)
+                    self._notify(message.host, news)
             case FetchHosts():
                 self._transport.send(address, self._own_host_list())
             case FetchHostList():
                 self._send_host_list(address, message.digest)
             case HostList():
                 self._relayed.store_host_list(address, message)
-                self._notify(address, is_urgent=False)
+                self._notify(address, News.ROUTINE)
             case FetchState():
                 self._ensemble.answer_fetch(address, message)
             case _:
@@ -364,7 +366,7 @@
             voters=[member.host for member in state.voters.members],
             joint=state.voters.is_joint,
         )
-        self._notify(self._address, is_urgent=False)
+        self._notify(self._address, News.ROUTINE)
 
     def tick(self, now: float) -> None:
         """Process every deadline that has passed."""
@@ -382,7 +384,7 @@
             self._log.event(
                 "backend servers timed out", change=self._heartbeat_table.change_number
             )
-            self._notify(self._address, is_urgent=True)
+            self._notify(self._address, News.URGENT)
         self._remove_expired_hosts(now)
 
     def _answer_reads(self, now: float) -> None:
@@ -521,13 +523,11 @@
         )
         if hosts != self._own_source.hosts:
             self._own_source.update_hosts(hosts)
-            self._notify(self._address, is_urgent=False)
+            self._notify(self._address, News.ROUTINE)
 
-    def _notify(self, host: str, *, is_urgent: bool) -> None:
+    def _notify(self, host: str, news: News) -> None:
         """Notify subscribers of news of this or another control host."""
-        self._updates.notify(
-            host, self._relayed.sources, self._clock(), is_urgent=is_urgent
-        )
+        self._updates.notify(host, self._relayed.sources, self._clock(), news)
 
 
 def _identities(servers: list[Heartbeat]) -> ServerIdentities:
--- a/src/kingcuppulley/control/update_sender.py
+++ b/src/kingcuppulley/control/update_sender.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from kingcuppulley.backend_servers.change_log import MAXIMUM_UPDATE_TARGETS
+from kingcuppulley.control.news import News
 from kingcuppulley.control.update_source import UpdateSource
 from kingcuppulley.entry_hosts.seeded_messages import (
     ControlUpdate,
@@ -18,6 +19,9 @@
 
 # Changes that are not urgent are collected for this long.
 UPDATE_INTERVAL_SECONDS = 0.1
+# Messages with prompt news that a follower gets in one such interval.  Further prompt
+# news is collected, so that a crash of many servers does not cost a message for each.
+MAXIMUM_PROMPT_MESSAGES = 10
 # A host that has not subscribed for this long may follow another control host.
 FOLLOWER_TIMEOUT_SECONDS = 1.0
 # Time after which changes that a subscriber has not confirmed are sent again.
@@ -178,6 +182,8 @@
         self._group = group
         self._subscribers: dict[str, Subscriber] = {}
         self._interval_deadline = 0.0
+        self._prompt_interval_deadline = 0.0
+        self._prompt_messages = 0
         self._hosts_with_news: set[str] = set()
 
     @property
@@ -217,17 +223,28 @@
         self._transport.send(address, message)
 
     def notify(
-        self, host: str, relayed: Iterable[UpdateSource], now: float, *, is_urgent: bool
+        self, host: str, relayed: Iterable[UpdateSource], now: float, news: News
     ) -> None:
         """Notify subscribers of news of a control host.
 
-        They are notified at once if it is urgent, else by `tick`.
+        They are notified at once if it is urgent, else now or by `tick`.
         """
         self._hosts_with_news.add(host)
-        if is_urgent:
+        if news is News.URGENT:
             self._send_news(relayed, now, is_urgent=True)
-        else:
-            self.tick(relayed, now)
+            return
+        if news is News.PROMPT and self._may_send_promptly(now):
+            self._send_news(relayed, now, is_urgent=False)
+            return
+        self.tick(relayed, now)
+
+    def _may_send_promptly(self, now: float) -> bool:
+        """Count a message with prompt news unless the interval has enough of them."""
+        if now >= self._prompt_interval_deadline:
+            self._prompt_interval_deadline = now + UPDATE_INTERVAL_SECONDS
+            self._prompt_messages = 0
+        self._prompt_messages += 1
+        return self._prompt_messages <= MAXIMUM_PROMPT_MESSAGES
 
     def tick(self, relayed: Iterable[UpdateSource], now: float) -> None:
         """Send the news of the last interval."""
--- a/tests/cover/test_outdated_updates.py
+++ b/tests/cover/test_outdated_updates.py
@@ -15,7 +15,8 @@
     CURRENT_INSTANCE_TIMEOUT_SECONDS,
 )
 from kingcuppulley.backend_servers.target_registry import TargetRegistry
-from kingcuppulley.control.relayed_sources import News, RelayedSources
+from kingcuppulley.control.news import News
+from kingcuppulley.control.relayed_sources import RelayedSources
 from kingcuppulley.control.update_sender import RESEND_DELAY_SECONDS, Subscriber
 from kingcuppulley.control.update_source import UpdateSource
 from kingcuppulley.entry_hosts.seeded_messages import ControlUpdate, SourcePosition
@@ -146,7 +147,7 @@
 
 
 def test_a_relay_keeps_its_copy_when_an_earlier_update_arrives():
-    relayed = RelayedSources("a:1", "zone-a", lambda host, message: None)
+    relayed = RelayedSources("a:1", "zone-a", lambda *_: None, ChangeLog())
     drained = heartbeat(sequence=2, state=ServingState.DRAINING)
     relayed.apply_update(control_update("one", 2, [drained], relay_zone="zone-b"), 1.0)
     for late in (
@@ -158,7 +159,7 @@
 
 
 def test_a_relay_keeps_the_copy_of_a_restarted_control_host():
-    relayed = RelayedSources("a:1", "zone-a", lambda host, message: None)
+    relayed = RelayedSources("a:1", "zone-a", lambda *_: None, ChangeLog())
     relayed.apply_update(control_update("one", 5, [heartbeat()]), 1.0)
     drained = heartbeat(sequence=2, state=ServingState.DRAINING)
     relayed.apply_update(control_update("two", 1, [drained]), 2.0)
@@ -169,7 +170,9 @@
 
 def test_a_relay_takes_no_list_of_hosts_or_relay_zone_from_an_earlier_update():
     sent: list[object] = []
-    relayed = RelayedSources("a:1", "zone-a", lambda host, message: sent.append(host))
+    relayed = RelayedSources(
+        "a:1", "zone-a", lambda *args: sent.append(args), ChangeLog()
+    )
     relayed.apply_update(
         control_update("one", 2, [heartbeat()], relay_zone="zone-b"), 1.0
     )
