Refuse documents with bytes that are no text, in any field

A heartbeat with such bytes was acknowledged as well.

Cause: a decoder checks the encoding only of the fields that it reads.

Change: `decode_json` checks the encoding of the whole document, where configurations, heartbeats and announcements arrive. Other documents of operators allow no unknown fields. What was accepted before stays readable: the check is not in the decoder of accepted configurations.

--- a/src/kingcuppulley/backend_servers/announcements.py
+++ b/src/kingcuppulley/backend_servers/announcements.py
@@ -9,7 +9,7 @@
 from kingcuppulley.backend_servers.records import Announcement, TargetRecord
 from kingcuppulley.entry_hosts.host import EntryHost
 from kingcuppulley.internal.counters import Metrics
-from kingcuppulley.internal.decoding import DECODING_ERRORS
+from kingcuppulley.internal.decoding import DECODING_ERRORS, decode_json
 from kingcuppulley.internal.http_api import answer_fault, answer_json
 from kingcuppulley.internal.http_server import (
     ApiRequest,
@@ -19,6 +19,7 @@
 )
 
 ANNOUNCEMENTS_PATH = b"/announcements"
+_ANNOUNCEMENT_DECODER = msgspec.json.Decoder(Announcement)
 
 
 class AnnouncementApi:
@@ -37,7 +38,7 @@
         An invalid one is answered with status 400, 401, 404 or 409 and a remedy.
         """
         try:
-            announcement = msgspec.json.decode(read_body(request), type=Announcement)
+            announcement = decode_json(read_body(request), _ANNOUNCEMENT_DECODER)
         except DECODING_ERRORS as error:
             self._metrics.count("announcements_malformed")
             answer_fault(request, 400, str(error), "post a valid announcement")
--- a/src/kingcuppulley/platform/documents.py
+++ b/src/kingcuppulley/platform/documents.py
@@ -12,7 +12,7 @@
 
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
 from kingcuppulley.errors import InvalidConfigurationError, InvalidHeartbeatError
-from kingcuppulley.internal.decoding import DECODING_ERRORS
+from kingcuppulley.internal.decoding import DECODING_ERRORS, decode_json
 from kingcuppulley.internal.field_types import (
     MAXIMUM_COUNT,
     MAXIMUM_DURATION_MS,
@@ -97,7 +97,10 @@
 
 def decode_configuration(document: bytes) -> RoutingConfiguration:
     """Decode a configuration, or raise `InvalidConfigurationError`."""
-    decoded = _decode(document)
+    try:
+        decoded = decode_json(document, _CONFIGURATION_DECODER)
+    except DECODING_ERRORS as error:
+        raise _unreadable(error) from error
     _check_limits(decoded)
     return _build_configuration(decoded)
 
@@ -105,19 +108,21 @@
 def decode_accepted_configuration(document: bytes) -> RoutingConfiguration:
     """Decode a configuration that was accepted, possibly by an earlier build.
 
-    Earlier builds did not check every limit.  A value beyond one is replaced by the
-    limit, so that the configuration stays active.  Raises `InvalidConfigurationError`
-    if the document is not a configuration.
+    Earlier builds did not check every limit, nor the encoding of fields that are not
+    read.  A value beyond a limit is replaced by the limit, so that the configuration
+    stays active.  Raises `InvalidConfigurationError` if the document is not a
+    configuration.
     """
-    return _build_configuration(_decode(document))
-
-
-def _decode(document: bytes) -> _Configuration:
     try:
-        return _CONFIGURATION_DECODER.decode(document)
+        decoded = _CONFIGURATION_DECODER.decode(document)
     except DECODING_ERRORS as error:
-        remedy = f"{error}; send the complete configuration as JSON"
-        raise InvalidConfigurationError("body", remedy) from error
+        raise _unreadable(error) from error
+    return _build_configuration(decoded)
+
+
+def _unreadable(error: Exception) -> InvalidConfigurationError:
+    remedy = f"{error}; send the complete configuration as JSON"
+    return InvalidConfigurationError("body", remedy)
 
 
 def _check_limits(configuration: _Configuration) -> None:
@@ -173,7 +178,7 @@
 def decode_heartbeat(name: str, body: bytes) -> Heartbeat:
     """Decode the heartbeat of a named server, or raise `InvalidHeartbeatError`."""
     try:
-        decoded = _HEARTBEAT_DECODER.decode(body)
+        decoded = decode_json(body, _HEARTBEAT_DECODER)
     except DECODING_ERRORS as error:
         raise InvalidHeartbeatError("body", f"{error}; send it as JSON") from error
     state = _SERVING_STATES.get(decoded.state)
