Refuse a route that names an unknown service beside a split

Cause: with a split only the services that get flows were checked; the route's other service was read and dropped.

Change: where a configuration arrives, the service of each route has to be configured, whether a split decides or not. Configurations that were accepted before are read without this check.

--- a/src/kingcuppulley/platform/documents.py
+++ b/src/kingcuppulley/platform/documents.py
@@ -102,6 +102,7 @@
     except DECODING_ERRORS as error:
         raise _unreadable(error) from error
     _check_limits(decoded)
+    _check_services(decoded)
     return _build_configuration(decoded)
 
 
@@ -109,9 +110,9 @@
     """Decode a configuration that was accepted, possibly by an earlier build.
 
     Earlier builds did not check every limit, nor the encoding of fields that are not
-    read.  A value beyond a limit is replaced by the limit, so that the configuration
-    stays active.  Raises `InvalidConfigurationError` if the document is not a
-    configuration.
+    read, nor a route's service beside a split.  A value beyond a limit is replaced by
+    the limit, so that the configuration stays active.  Raises
+    `InvalidConfigurationError` if the document is not a configuration.
     """
     try:
         decoded = _CONFIGURATION_DECODER.decode(document)
@@ -151,6 +152,22 @@
                 raise InvalidConfigurationError(location, remedy)
 
 
+def _check_services(configuration: _Configuration) -> None:
+    """Raise `InvalidConfigurationError` for a service that is not configured.
+
+    That of a route with a split has no effect, but it is a name in the route, too.
+    """
+    service_names = {service.name for service in configuration.services}
+    for route in configuration.routes:
+        if route.service is not None and route.service not in service_names:
+            raise _unknown_service(route, route.service)
+
+
+def _unknown_service(route: _Route, name: str) -> InvalidConfigurationError:
+    remedy = f"configure service {name!r} or name another"
+    return InvalidConfigurationError(f"route {route.name}", remedy)
+
+
 def _build_configuration(decoded: _Configuration) -> RoutingConfiguration:
     if not 0 < decoded.version <= MAXIMUM_COUNT:
         raise InvalidConfigurationError("version", "use a version from 1 to 2**63 - 1")
@@ -241,10 +258,7 @@
     shares = _build_shares(route)
     for share in shares:
         if share.service not in service_names:
-            raise InvalidConfigurationError(
-                f"route {route.name}",
-                f"configure service {share.service!r} or name another",
-            )
+            raise _unknown_service(route, share.service)
     if route.timeout_ms <= 0:
         raise InvalidConfigurationError(f"route {route.name}", "set timeout_ms above 0")
     return Route(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -11,7 +11,11 @@
 
 from kingcuppulley.backend_servers.heartbeats import ServingState
 from kingcuppulley.errors import InvalidConfigurationError, InvalidHeartbeatError
-from kingcuppulley.platform.documents import decode_configuration, decode_heartbeat
+from kingcuppulley.platform.documents import (
+    decode_accepted_configuration,
+    decode_configuration,
+    decode_heartbeat,
+)
 
 CONFIGURATION = {
     "version": 7,
@@ -101,6 +105,8 @@
         (["routes", 1, "service"], "unknown"),
         (["routes", 0, "split", 0, "service"], "unknown"),
         (["routes", 0, "split", 0, "weight"], -1),
+        # Guards against a name that no flow depends on, because the split decides.
+        (["routes", 0, "service"], "unknown"),
         (["routes", 1, "host"], "198.18.0.1"),
         (["routes", 1, "host"], "198.18.0"),
         (["routes", 1, "host"], "not an address"),
@@ -116,6 +122,18 @@
     assert caught.value.remedy
 
 
+def test_a_route_may_name_a_known_service_beside_a_split():
+    body = with_value(CONFIGURATION, ["routes", 0, "service"], "two")
+    route = decode_configuration(body).routes[0]
+    assert [share.weight for share in route.shares] == [90, 10]
+
+
+def test_an_accepted_route_may_name_an_unknown_service_beside_a_split():
+    # Earlier builds accepted it; the configuration in force must stay readable.
+    body = with_value(CONFIGURATION, ["routes", 0, "service"], "unknown")
+    assert decode_accepted_configuration(body).version == CONFIGURATION["version"]
+
+
 def test_a_split_whose_weights_are_all_zero_is_refused():
     shares = [{"service": "one", "weight": 0}]
     with pytest.raises(InvalidConfigurationError):
@@ -166,6 +184,7 @@
 @given(st.binary(max_size=300))
 def test_arbitrary_bytes_are_refused(data):
     for decode in (
+        decode_accepted_configuration,
         decode_configuration,
         lambda body: decode_heartbeat(SERVER_NAME, body),
     ):
--- a/tests/platform/test_upgraded_stores.py
+++ b/tests/platform/test_upgraded_stores.py
@@ -166,7 +166,7 @@
     assert deployment.entry.version == version + 2
 
 
-@pytest.mark.parametrize("name", ["bytes"])
+@pytest.mark.parametrize("name", ["bytes", "split"])
 def test_a_stored_configuration_is_refused_when_it_is_sent_again(name):
     document = (STORES / name / "document").read_bytes()
     with pytest.raises(InvalidConfigurationError):
