Read accepted configurations on any stack, and replace unreadable ones

Cause: the interpreter counts the nesting of a document and the frames on the stack together. The configuration in force was decoded again with more frames than when it was accepted, and the error was not handled: it ended the connection and each later tick.

Change: an accepted document that is too deep for the stack is decoded without what is nested deeper than any field that is read. A configuration in force that cannot be read at all is logged and counted, and the next one is accepted.

--- a/src/kingcuppulley/control/configuration_publisher.py
+++ b/src/kingcuppulley/control/configuration_publisher.py
@@ -72,15 +72,15 @@
 
     A content also holds what earlier configurations allowed, so it follows from the
     state before the change.  If that state has changed meanwhile, the content is built
-    again.
+    again.  `read_configuration` returns the configuration of a state, or None if there
+    is none or it cannot be read; then nothing earlier is known, and the change goes on.
     """
 
     __slots__ = (
         "_ensemble",
         "_contents",
         "_now",
-        "_decode",
-        "_read_document",
+        "_read_configuration",
         "_publications",
         "_decoded",
     )
@@ -88,14 +88,12 @@
     def __init__(
         self,
         ensemble: EnsembleHost,
-        decode: Callable[[bytes], RoutingConfiguration],
-        read_document: Callable[[RoutingState], bytes | None],
+        read_configuration: Callable[[RoutingState], RoutingConfiguration | None],
     ) -> None:
         self._ensemble = ensemble
         self._contents = ensemble.content_exchange
         self._now = 0.0
-        self._decode = decode
-        self._read_document = read_document
+        self._read_configuration = read_configuration
         self._publications: list[_Publication] = []
         # Configurations of states that were built or decoded last, the oldest first.
         self._decoded: dict[bytes | ContentReference, RoutingConfiguration] = {}
@@ -199,11 +197,9 @@
         decoded = self._decoded.get(state.configuration)
         if decoded is not None:
             return decoded
-        document = self._read_document(state)
-        if document is None:
-            return None
-        decoded = self._decode(document)
-        self._remember(state, decoded)
+        decoded = self._read_configuration(state)
+        if decoded is not None:
+            self._remember(state, decoded)
         return decoded
 
     def _remember(
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -40,7 +40,7 @@
     SubscribeToControl,
     SubscribeToRelay,
 )
-from kingcuppulley.errors import MalformedMessageError
+from kingcuppulley.errors import InvalidConfigurationError, MalformedMessageError
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.operators.routing import RoutingConfiguration
 
@@ -146,7 +146,10 @@
             contents,
         )
         self._contents = self._ensemble.content_exchange
-        self._publisher = ConfigurationPublisher(self._ensemble, decode, self.document)
+        self._decode = decode
+        self._publisher = ConfigurationPublisher(
+            self._ensemble, self._read_configuration
+        )
         self._pending_documents: list[_PendingDocument] = []
         self._updates = UpdateSender(self._own_source, transport, self._ensemble)
 
@@ -249,9 +252,23 @@
             content = self._contents.contents.content(state)
             return None if content is None else content.document
         except MalformedMessageError as error:
-            self._metrics.count("states_malformed")
-            self._log.event("state malformed", reason=str(error))
+            self._record_malformed_state(error)
+            return None
+
+    def _read_configuration(self, state: RoutingState) -> RoutingConfiguration | None:
+        """Return the configuration in a state, or None if it cannot be read."""
+        document = self.document(state)
+        if document is None:
             return None
+        try:
+            return self._decode(document)
+        except InvalidConfigurationError as error:
+            self._record_malformed_state(error)
+            return None
+
+    def _record_malformed_state(self, error: Exception) -> None:
+        self._metrics.count("states_malformed")
+        self._log.event("state malformed", reason=str(error))
 
     def log_refused_configuration(self, reason: str) -> None:
         """Log a configuration that was refused as invalid."""
--- a/src/kingcuppulley/platform/documents.py
+++ b/src/kingcuppulley/platform/documents.py
@@ -12,7 +12,11 @@
 
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
 from kingcuppulley.errors import InvalidConfigurationError, InvalidHeartbeatError
-from kingcuppulley.internal.decoding import DECODING_ERRORS, decode_json
+from kingcuppulley.internal.decoding import (
+    DECODING_ERRORS,
+    decode_accepted_json,
+    decode_json,
+)
 from kingcuppulley.internal.field_types import (
     MAXIMUM_COUNT,
     MAXIMUM_DURATION_MS,
@@ -115,7 +119,7 @@
     `InvalidConfigurationError` if the document is not a configuration.
     """
     try:
-        decoded = _CONFIGURATION_DECODER.decode(document)
+        decoded = decode_accepted_json(document, _CONFIGURATION_DECODER)
     except DECODING_ERRORS as error:
         raise _unreadable(error) from error
     return _build_configuration(decoded)
--- a/tests/platform/test_upgraded_stores.py
+++ b/tests/platform/test_upgraded_stores.py
@@ -10,6 +10,7 @@
 
 import json
 import shutil
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -21,6 +22,7 @@
 from kingcuppulley.entry_hosts.seeded_host import SeededEntryHost
 from kingcuppulley.errors import InvalidConfigurationError
 from kingcuppulley.internal.counters import Metrics
+from kingcuppulley.operators.routing import RoutingConfiguration
 from kingcuppulley.platform.documents import (
     decode_accepted_configuration,
     decode_configuration,
@@ -32,13 +34,36 @@
 
 STORES = Path(__file__).parent / "stores"
 STEP_SECONDS = 0.02
+PLAIN = (
+    json.dumps(
+        {
+            "version": "VERSION",
+            "routes": [
+                {
+                    "name": "r-1",
+                    "host": "198.18.0.1",
+                    "path_prefix": "/8443/",
+                    "timeout_ms": 1500,
+                    "service": "order-desk",
+                }
+            ],
+            "services": [{"name": "order-desk"}],
+        }
+    )
+    .encode()
+    .replace(b'"VERSION"', b"%d")
+)
 ENTRY_HOST = "10.0.0.9:7000"
+Decode = Callable[[bytes], RoutingConfiguration]
 
 
 class UpgradedDeployment:
     """Run the control hosts of a store, and one entry host, by this build."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self, folder: Path, decode: Decode = decode_accepted_configuration
+    ) -> None:
+        self.decode = decode
         self.now = 100.0
         self.in_flight: list[tuple[str, str, object]] = []
         self.disks: dict[str, FakeDisk] = {}
@@ -55,7 +80,7 @@
             "zone-a",
             list(self.controls),
             PlatformPackets(),
-            decode_accepted_configuration,
+            self.decode,
             Recorder(),
             _Transport(self, ENTRY_HOST).send,
             Metrics(),
@@ -76,7 +101,7 @@
             [name],
             3,
             1.0,
-            decode_accepted_configuration,
+            self.decode,
             DiscardingLog(),
             Metrics(),
             Random(name),
@@ -146,26 +171,28 @@
     assert deployment.read() == document
     version = deployment.entry.version
     assert version == decode_accepted_configuration(document).version
-    plain = json.dumps(
-        {
-            "version": version + 2,
-            "routes": [
-                {
-                    "name": "r-1",
-                    "host": "198.18.0.1",
-                    "path_prefix": "/8443/",
-                    "timeout_ms": 1500,
-                    "service": "order-desk",
-                }
-            ],
-            "services": [{"name": "order-desk"}],
-        }
-    ).encode()
+    plain = PLAIN % (version + 2)
     assert deployment.put(plain)
     assert deployment.read() == plain
     assert deployment.entry.version == version + 2
 
 
+def test_a_configuration_in_force_that_cannot_be_read_is_replaced(tmp_path):
+    # Another build may have written it.  An order must not end with the host's error.
+    shutil.copytree(STORES / "split", tmp_path, dirs_exist_ok=True)
+
+    def decode(document: bytes) -> RoutingConfiguration:
+        if b"retired-desk" in document:
+            raise InvalidConfigurationError("routes", "use a build that reads them")
+        return decode_accepted_configuration(document)
+
+    deployment = UpgradedDeployment(tmp_path, decode)
+    deployment.run(1.0)
+    assert deployment.entry.version == 0
+    assert deployment.put(PLAIN % 100)
+    assert deployment.entry.version == 100
+
+
 @pytest.mark.parametrize("name", ["bytes", "split"])
 def test_a_stored_configuration_is_refused_when_it_is_sent_again(name):
     document = (STORES / name / "document").read_bytes()
