Move reading of configurations out of the control host

Reads that wait for their content, and the decoding of the configuration in force, are one job of their own now (control/configuration_reader.py). A repeated packet of an open flow no longer delays the next flow of a cold server. An unused property is removed, and two docstrings say what they mean.

--- a/src/kingcuppulley/backend_servers/instance_order.py
+++ b/src/kingcuppulley/backend_servers/instance_order.py
@@ -26,16 +26,10 @@
         self._received_at = received_at
         self._replaced: deque[str] = deque(maxlen=REPLACED_INSTANCES)
 
-    @property
-    def current(self) -> str:
-        """Return the identifier of the process that runs, as far as is known."""
-        return self._current
-
     def is_outdated(self, instance: str, received_at: float) -> bool:
         """Return whether a message names an earlier process.
 
-        `received_at` is when the message left the control host at the latest: when it
-        arrived here, or at the host that passed it on.
+        `received_at` is when it arrived, here or at the host that passed it on.
         """
         if instance == self._current:
             return False
--- a/src/kingcuppulley/backend_servers/target_registry.py
+++ b/src/kingcuppulley/backend_servers/target_registry.py
@@ -144,9 +144,8 @@
 
     When a control host restarts, the reports of its previous instance stay valid for
     `PREVIOUS_INSTANCE_RETENTION_SECONDS`, so that the servers have time to send
-    heartbeats to the new instance.  Servers whose newest
-    report is from before the last return of their zone count as cold; see
-    `ZoneReturns`.
+    heartbeats to the new instance.  Servers whose newest report is from before the last
+    return of their zone count as cold; see `ZoneReturns`.
     """
 
     def __init__(
--- a/src/kingcuppulley/control/seeded_host.py
+++ b/src/kingcuppulley/control/seeded_host.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
 
 import msgspec
 
@@ -12,6 +11,7 @@
 from kingcuppulley.backend_servers.heartbeats import Heartbeat
 from kingcuppulley.control.awaited_requests import AwaitedRequests, Caller
 from kingcuppulley.control.configuration_publisher import ConfigurationPublisher
+from kingcuppulley.control.configuration_reader import ConfigurationReader, ControlLog
 from kingcuppulley.control.content_store import ContentStore
 from kingcuppulley.control.ensemble_host import EnsembleHost
 from kingcuppulley.control.ensemble_messages import (
@@ -40,7 +40,6 @@
     SubscribeToControl,
     SubscribeToRelay,
 )
-from kingcuppulley.errors import InvalidConfigurationError, MalformedMessageError
 from kingcuppulley.internal.counters import Metrics
 from kingcuppulley.operators.routing import RoutingConfiguration
 
@@ -61,26 +60,6 @@
 ServerIdentities = frozenset[tuple[str, int, str, int]]
 
 
-class ControlLog(Protocol):
-    """Log changes of this process's known state."""
-
-    def event(self, kind: str, **fields: object) -> None:
-        """Log one event with its fields."""
-
-
-class _PendingDocument:
-    """Hold a read whose state is certain until the state's content has arrived."""
-
-    __slots__ = ("state", "on_result", "deadline")
-
-    def __init__(
-        self, state: RoutingState, on_result: StateCallback, deadline: float
-    ) -> None:
-        self.state = state
-        self.on_result = on_result
-        self.deadline = deadline
-
-
 class SeededControlHost:
     """Serve accepted operator changes and backend servers' states to entry hosts.
 
@@ -145,12 +124,12 @@
             clock(),
             contents,
         )
-        self._contents = self._ensemble.content_exchange
-        self._decode = decode
+        self._reader = ConfigurationReader(
+            self._ensemble.content_exchange, decode, log, metrics
+        )
         self._publisher = ConfigurationPublisher(
-            self._ensemble, self._read_configuration
+            self._ensemble, self._reader.configuration
         )
-        self._pending_documents: list[_PendingDocument] = []
         self._updates = UpdateSender(self._own_source, transport, self._ensemble)
 
     @property
@@ -220,12 +199,11 @@
             on_result(state)
 
         def await_content(state: RoutingState | None) -> None:
-            if state is None or self._contents.contents.holds(state):
-                record_result(state)
+            if state is None:
+                record_result(None)
             else:
-                self._contents.fetch(state, "", self._clock())
-                self._pending_documents.append(
-                    _PendingDocument(state, record_result, deadline)
+                self._reader.await_content(
+                    state, record_result, deadline, self._clock()
                 )
 
         self._ensemble.read(await_content, deadline)
@@ -246,29 +224,7 @@
 
     def document(self, state: RoutingState | None) -> bytes | None:
         """Return the configuration in a state, as the operator sent it, or None."""
-        if state is None:
-            return None
-        try:
-            content = self._contents.contents.content(state)
-            return None if content is None else content.document
-        except MalformedMessageError as error:
-            self._record_malformed_state(error)
-            return None
-
-    def _read_configuration(self, state: RoutingState) -> RoutingConfiguration | None:
-        """Return the configuration in a state, or None if it cannot be read."""
-        document = self.document(state)
-        if document is None:
-            return None
-        try:
-            return self._decode(document)
-        except InvalidConfigurationError as error:
-            self._record_malformed_state(error)
-            return None
-
-    def _record_malformed_state(self, error: Exception) -> None:
-        self._metrics.count("states_malformed")
-        self._log.event("state malformed", reason=str(error))
+        return None if state is None else self._reader.document(state)
 
     def log_refused_configuration(self, reason: str) -> None:
         """Log a configuration that was refused as invalid."""
@@ -391,7 +347,7 @@
         self._awaited_requests.tick(now)
         self._ensemble.tick(now)
         self._publisher.tick(now)
-        self._answer_reads(now)
+        self._reader.tick(now)
         self._relayed.tick(self._ensemble.live_hosts(now), now)
         self._updates.tick(self._relayed.sources, now)
         if now < self._heartbeat_check_deadline:
@@ -404,17 +360,6 @@
             self._notify(self._address, News.URGENT)
         self._remove_expired_hosts(now)
 
-    def _answer_reads(self, now: float) -> None:
-        """Answer the reads whose content has arrived, or is late."""
-        pending, self._pending_documents = self._pending_documents, []
-        for read in pending:
-            if self._contents.contents.holds(read.state):
-                read.on_result(read.state)
-            elif now >= read.deadline:
-                read.on_result(None)
-            else:
-                self._pending_documents.append(read)
-
     def _record_order(
         self,
         change_kind: str,
--- a/src/kingcuppulley/fabric/placement.py
+++ b/src/kingcuppulley/fabric/placement.py
@@ -290,11 +290,13 @@
         self, placed: _PlacedFlow, request: FlowRequest, now: float
     ) -> PlacementDecision:
         is_repeated = request.retransmission <= placed.retransmission
-        if is_repeated and (
-            placed.is_established or self._may_go_back(placed, request, now)
-        ):
+        repeated = PlacementDecision(PlacementOutcome.PLACED, placed.target, "repeated")
+        if is_repeated and placed.is_established:
+            # The server holds the flow, so the packet opens none there.
+            return repeated
+        if is_repeated and self._may_go_back(placed, request, now):
             self._choice.limit_placements(placed.target, now)
-            return PlacementDecision(PlacementOutcome.PLACED, placed.target, "repeated")
+            return repeated
         if not is_repeated:
             self._record_unanswered(placed, now)
         excluded_cookies = [*placed.unanswered_cookies, placed.target.cookie]
