End small requests of a route with uploads when their flow ends

Cause, open since: where uploads and small requests share a route, a small request counts with the average size of the uploads until it has been idle for 2 to 4 s, because only large packets are recorded, and it never lowers the average. When only small ones are left, a host accepts about one in two seconds.

Change: the end of a flow ends its request also if no packet of it was recorded, and it counts in the average as a small one. The last packet of an opening still ends nothing.

Evidence: two of the three new cases of test_link_admission.py fail on the commit before.

--- a/src/kingcuppulley/fabric/link_admission.py
+++ b/src/kingcuppulley/fabric/link_admission.py
@@ -93,11 +93,12 @@
             request = self._add(flow, route_key, now)
         request.received_bytes += size
 
-    def end_request(self, flow: bytes) -> None:
+    def end_request(self, flow: bytes, *, ends_flow: bool = False) -> None:
         """Record that a caller has an answer, or has ended the flow."""
         request = self._open_requests.get(flow)
-        # Without data it is only the caller's last packet to open the flow.
-        if request is None or not request.received_bytes:
+        # Without data it is only the caller's last packet to open the flow, unless the
+        # flow ends: then its request was a small one, or there was none.
+        if request is None or not (request.received_bytes or ends_flow):
             return
         del self._open_requests[flow]
         averages = self._average_bytes
--- a/src/kingcuppulley/seeded/egress_pacer.py
+++ b/src/kingcuppulley/seeded/egress_pacer.py
@@ -151,7 +151,7 @@
     ) -> None:
         """Send a datagram, or queue a large one with a header while others wait."""
         if self._open_requests and header is not None and not header.has_data:
-            self._admission.end_request(header.flow)
+            self._admission.end_request(header.flow, ends_flow=header.ends_flow)
         size = len(datagram)
         prepaid_bytes = self._prepaid_bytes - size - DATAGRAM_HEADERS_BYTES
         if prepaid_bytes >= 0 and size < self._prepaid_datagram_limit:
--- a/tests/cover/test_link_admission.py
+++ b/tests/cover/test_link_admission.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from itertools import takewhile
+
 from kingcuppulley.fabric.link_admission import IDLE_SECONDS, LinkAdmission
+from tests.egress_link import PacedLink
 
 ROUTE = b"address:port"
 LINK_BYTES_PER_SECOND = 100_000.0
@@ -41,3 +44,40 @@
     for step in range(1, 40):
         admission.record(b"second", ROUTE, 1, 0.25 * step)
         assert not may_open(admission, b"third", 0.25 * step)
+
+
+def test_small_requests_of_a_route_with_uploads_are_accepted_once_these_have_ended():
+    # Guards against a host that takes every small request for an upload: its record
+    # stayed until it was idle for seconds, and the average of the route never fell.
+    admission = busy_link()
+    admission.end_request(b"second", ends_flow=True)
+    refused = 0
+    for number in range(100):
+        flow = b"small-%d" % number
+        now = 0.2 + 0.05 * number
+        refused += not may_open(admission, flow, now)
+        # Its caller opens it, sends a small request and ends it: no packet is recorded.
+        admission.end_request(flow)
+        admission.end_request(flow, ends_flow=True)
+    assert refused == 0
+
+
+def test_a_caller_that_has_only_opened_its_flow_still_counts():
+    admission = busy_link()
+    admission.end_request(b"second")
+    assert may_open(admission, b"third", 0.2)
+    admission.end_request(b"third")
+    assert not may_open(admission, b"fourth", 0.3)
+
+
+def test_the_last_packet_of_a_small_request_reaches_the_admission():
+    # Guards against a pacer that does not pass the end of a flow on.
+    link = PacedLink(575_000.0)
+    for sequence in range(10):
+        link.offer("upload", sequence)
+    link.acknowledge_answer("upload")
+    opened = list(takewhile(link.may_open, map(str, range(100))))
+    assert len(opened) < 100
+    for flow in opened:
+        link.end_flow(flow)
+    assert link.may_open("later")
--- a/tests/egress_link.py
+++ b/tests/egress_link.py
@@ -68,6 +68,11 @@
     def acknowledge_answer(self, flow, priority=2):
         self._send_packet(self._header(flow, priority, False, 0), 42)
 
+    def end_flow(self, flow, priority=2):
+        header = self._header(flow, priority, False, 0)
+        header.ends_flow = True
+        self._send_packet(header, 42)
+
     def may_open(self, flow, priority=2, objective_seconds=1.0):
         header = self._header(flow, priority, False, 0)
         return self.pacer.may_open(header, objective_seconds)
