--- a/tests/cover/test_outdated_updates.py
+++ b/tests/cover/test_outdated_updates.py
@@ -19,7 +19,12 @@
 from kingcuppulley.control.relayed_sources import RelayedSources
 from kingcuppulley.control.update_sender import RESEND_DELAY_SECONDS, Subscriber
 from kingcuppulley.control.update_source import UpdateSource
-from kingcuppulley.entry_hosts.seeded_messages import ControlUpdate, SourcePosition
+from kingcuppulley.entry_hosts.seeded_messages import (
+    ControlUpdate,
+    RelayedUpdate,
+    SourcePosition,
+)
+from tests.cover.test_control_subscription import CONTROL_HOST, Deployment
 from tests.seeded_fakes import SERVICE, heartbeat
 
 HOST = "control"
@@ -202,3 +207,29 @@
         subscriber.record_sent(update, now)
         is_first_lost = False
         subscriber.confirm(position, now)
+
+
+def test_an_entry_host_takes_nothing_else_from_an_earlier_update():
+    # Guards against queued flows that wait for servers long after a start, and against
+    # an age of the known state that a late message hides.
+    deployment = Deployment()
+    deployment.run(0.1)
+    early = next(
+        message
+        for _, destination, message in deployment.sent
+        if destination == "a1" and isinstance(message, RelayedUpdate)
+    )
+    assert early.updates[0].discovery_remaining_ms > 0
+    deployment.run(0.5)
+    deployment.configure(1)
+    deployment.send_heartbeat(heartbeat())
+    deployment.run(2.0)
+    entry = deployment.entries["a1"]
+    discovery_deadline = entry._placement.discovery_deadline
+    deployment.cut_off = {"a1"}
+    deployment.run(3.0)
+    entry.receive(CONTROL_HOST, early, deployment.now)
+    assert entry._placement.discovery_deadline == discovery_deadline
+    gauges: dict[str, float] = {}
+    entry.update_gauges(gauges, deployment.now)
+    assert gauges["seconds_since_control"] > 2.5
