--- a/tests/cover/test_control_subscription.py
+++ b/tests/cover/test_control_subscription.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from random import Random
+from typing import Protocol
 
 from kingcuppulley.backend_servers.heartbeats import Heartbeat, ServingState
 from kingcuppulley.backend_servers.target_registry import derive_cookie
@@ -74,7 +75,7 @@
             f"instance-{self.control_start_count}",
             self.disk.vote,
             self.disk,
-            _FakeTransport(self, CONTROL_HOST),
+            FakeTransport(self, CONTROL_HOST),
             [CONTROL_HOST],
             1,
             1.0,
@@ -93,7 +94,7 @@
             WordPacketFormat(),
             decode,
             self.recorders[name],
-            _FakeTransport(self, name).send,
+            FakeTransport(self, name).send,
             Metrics(),
             DiscardingLog(),
             Random(2),
@@ -138,8 +139,14 @@
         assert results and results[0] is not None
 
 
-class _FakeTransport:
-    def __init__(self, deployment: Deployment, name: str) -> None:
+class InFlight(Protocol):
+    """Hold the messages that are in flight, with their source and destination."""
+
+    in_flight: list[tuple[str, str, object]]
+
+
+class FakeTransport:
+    def __init__(self, deployment: InFlight, name: str) -> None:
         self._deployment = deployment
         self._name = name
 
--- a/tests/platform/test_upgraded_stores.py
+++ b/tests/platform/test_upgraded_stores.py
@@ -28,7 +28,7 @@
     decode_configuration,
 )
 from kingcuppulley.platform.packets import PlatformPackets
-from tests.cover.test_control_subscription import DiscardingLog
+from tests.cover.test_control_subscription import DiscardingLog, FakeTransport
 from tests.cover.test_cookie_router import Recorder
 from tests.ensemble_cluster import FakeDisk
 
@@ -82,7 +82,7 @@
             PlatformPackets(),
             self.decode,
             Recorder(),
-            _Transport(self, ENTRY_HOST).send,
+            FakeTransport(self, ENTRY_HOST).send,
             Metrics(),
             DiscardingLog(),
             Random(2),
@@ -97,7 +97,7 @@
             f"instance-{name}",
             vote,
             disk,
-            _Transport(self, name),
+            FakeTransport(self, name),
             [name],
             3,
             1.0,
@@ -144,19 +144,6 @@
         return control.document(states[0])
 
 
-class _Transport:
-    def __init__(self, deployment: UpgradedDeployment, name: str) -> None:
-        self._deployment = deployment
-        self._name = name
-
-    def send(self, address: str, message: object) -> None:
-        self._deployment.in_flight.append((self._name, address, message))
-
-    def send_to_all(self, addresses, message: object) -> None:
-        for address in addresses:
-            self.send(address, message)
-
-
 @pytest.fixture(params=sorted(path.name for path in STORES.iterdir()))
 def store(request, tmp_path) -> Path:
     folder = tmp_path / "data"
