--- a/tests/platform/test_upgraded_stores.py
+++ b/tests/platform/test_upgraded_stores.py
@@ -1,7 +1,8 @@
 """Start from files that control hosts of an earlier build wrote.
 
 Each folder in `stores` holds the files of the three control hosts of a deployment that
-ran build 4864409, and the configuration that was in force.  The tests guard against
+ran build 4864409, and the configuration that was in force.  They were copied after the
+processes had been killed, and no later build can write them.  The tests guard against
 checks that make such a configuration unreadable after an upgrade, so that it is not
 served, or no later one is accepted.
 """
