--- a/review/11/case.py
+++ b/review/11/case.py
@@ -178,10 +178,12 @@
         time.sleep(1.5)
         deployment.call_any("POST", f"/kingcuppulley/evacuate/{ZONE}/start")
         record(f"{ZONE} is evacuated; the search begins")
+        environment.records_flows = False
         environment.spawn(
             caller.open_steadily(ROUTE, deployment.entries, OPENINGS_PER_SECOND)
         )
         acknowledged_at = search(operator, deployment, servers, record)
+        environment.records_flows = True
         record("no order is sent from now on")
         judged_from = (
             acknowledged_at
