--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -52,6 +52,14 @@
         self.process = None
 
     def write_settings(self, is_first_start):
+        self.prepare_settings(is_first_start)
+        self.replace_settings()
+
+    def replace_settings(self):
+        """Put the prepared file in place; a process never reads a part of it."""
+        os.replace(self.folder / "settings.new", self.folder / "settings.toml")
+
+    def prepare_settings(self, is_first_start):
         d = self.deployment
         (self.folder / "data").mkdir(parents=True, exist_ok=True)
         if self.role == "control":
@@ -64,8 +72,7 @@
         seeds = ", ".join(f'"{c.ip}:{d.control_port}"' for c in d.controls[:3])
         zones = "\n".join(f'{zone} = "region"' for zone in ZONES)
         data = f'data_dir = "{self.folder}/data"\n' if self.role == "control" else ""
-        new_file = self.folder / "settings.new"
-        new_file.write_text(
+        text = (
             f'node = "{self.name}"\nrole = "{self.role}"\n'
             f'class = "{"core" if self.role == "control" else "edge"}"\n'
             f'ip = "{self.ip}"\nzone = "{self.zone}"\nregion = "region"\n'
@@ -80,11 +87,14 @@
             "[tolerate]\nmachines = 1\nzones = 1\nregions = 0\n"
             "[bounds]\ngrace_s = 6.0\n"
         )
-        # A process never reads a part of the file.
-        os.replace(new_file, self.folder / "settings.toml")
-
-    def start(self, is_first_start=False):
-        self.write_settings(is_first_start)
+        with open(self.folder / "settings.new", "w") as file:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+
+    def start(self, is_first_start=False, writes_settings=True):
+        if writes_settings:
+            self.write_settings(is_first_start)
         environment = {
             "PATH": os.environ["PATH"],
             "HOME": str(self.folder),
