--- a/review/11/case.py
+++ b/review/11/case.py
@@ -25,7 +25,7 @@
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DEPLOYMENTS = 4
-SEARCH_SECONDS = 75.0
+SEARCH_SECONDS = 80.0
 EVACUATE_SECONDS = 5.0
 # What an unstable core may add at most, and how long a core counts as unstable.
 MAXIMUM_SKEW_SECONDS = 12.0
@@ -36,7 +36,8 @@
 # How long the openings are watched before the search goes on.
 WATCH_SECONDS = 1.0
 OPENINGS_PER_SECOND = 15.0
-SHORTEST_CUT_SECONDS, LONGEST_CUT_SECONDS = 0.0001, 0.0010
+# The connection is cut at a time drawn from one of these ranges.
+CUT_SECONDS = [(0.0001, 0.0010), (0.0010, 0.0070)]
 ZONE = "zone-a"
 ROUTE = ("198.18.0.1", 443)
 END, START = (
@@ -83,7 +84,7 @@
         """Ask to take the zone back; return the status, 0 if it was cut off."""
         connection.sendall(END)
         if HAS_TROUBLE:
-            wait = self.generator.uniform(SHORTEST_CUT_SECONDS, LONGEST_CUT_SECONDS)
+            wait = self.generator.uniform(*self.generator.choice(CUT_SECONDS))
             until = time.perf_counter() + wait
             while time.perf_counter() < until:
                 pass
