--- a/review/11/case.py
+++ b/review/11/case.py
@@ -25,7 +25,7 @@
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DEPLOYMENTS = 4
-SEARCH_SECONDS = 80.0
+SEARCH_SECONDS = 75.0
 EVACUATE_SECONDS = 5.0
 # What an unstable core may add at most, and how long a core counts as unstable.
 MAXIMUM_SKEW_SECONDS = 12.0
@@ -154,7 +154,7 @@
 
 def try_deployment(folder):
     record = Record(folder)
-    deployment = Deployment(entries=2)
+    deployment = Deployment(entries=7)
     environment = Environment(deployment, record)
     try:
         deployment.start()
